feat(core): add the reducer, the ledger and the records that order it

Cause: nothing stood yet; the whole path grows on one deterministic reducer over the platform's log.

The runtime, the stand-ins and the policies are not there yet.

--- /dev/null
+++ b/src/modules/mod.rs
@@ -0,0 +1,1 @@
+//! What carries out effects and brings events.
--- /dev/null
+++ b/src/reducer/ledger/mod.rs
@@ -0,0 +1,225 @@
+//! The ledger: what the log's prefix says, and nothing else.
+//!
+//! [`Ledger::apply`] is a pure function of the control records and of the configuration records
+//! that they put in force, so two VMs at the same offset hold the same ledger.
+
+pub mod catalog;
+pub mod change;
+pub mod claims;
+pub mod fleet;
+pub mod gangs;
+pub mod pairs;
+
+use crate::prelude::*;
+use crate::records::Batch;
+use crate::records::BatchId;
+use crate::records::Entry;
+use crate::records::Verdict;
+use crate::records::Void;
+use catalog::Catalog;
+use catalog::Ruled;
+use claims::Claims;
+use fleet::Fleet;
+use gangs::Gangs;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+/// The most that one record moves the ledger's clock, in milliseconds.
+pub const CLOCK_STEP_MS: u64 = 60_000;
+/// The time without a batch after which a writer is forgotten, in milliseconds.
+pub const WRITER_TTL_MS: u64 = 86_400_000;
+
+/// Where and by whom an entry was recorded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Origin {
+    /// The control offset of its batch.
+    pub offset: Offset,
+    /// The batch's identifier.
+    pub id: BatchId,
+    /// The configuration offset in force.
+    pub cfg: Offset,
+    /// The ledger's clock, in milliseconds of wall time.
+    pub at_ms: u64,
+}
+
+/// The verdict on one entry, with the entry.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ruling {
+    /// Where it was recorded.
+    pub origin: Origin,
+    /// The entry.
+    pub entry: Entry,
+    /// Whether it is in force.
+    pub verdict: Verdict,
+}
+
+/// What one control record did.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Applied {
+    /// The configuration changes that it put in force or refused.
+    pub changes: Vec<Ruled>,
+    /// The verdicts on its entries.
+    pub rulings: Vec<Ruling>,
+    /// The gangs whose phase changed.
+    pub moved: Vec<Name>,
+}
+
+/// The last batch of one writer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Writer {
+    boot: u64,
+    seq: u64,
+    at_ms: u64,
+}
+
+/// Configuration records that were read and are not in force yet.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Staged {
+    /// The records, by offset.
+    pub records: VecDeque<StagedRecord>,
+    /// The next configuration offset that will be read.
+    pub next: Offset,
+}
+
+/// One configuration record that is not in force yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StagedRecord {
+    /// Its offset.
+    pub offset: Offset,
+    /// Its content.
+    pub data: Vec<u8>,
+}
+
+/// The state that the log's prefix gives.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// The next control offset.
+    pub next: Offset,
+    /// The highest stamp seen, in milliseconds of wall time; never goes back.
+    pub clock_ms: u64,
+    /// The configuration in force.
+    pub catalog: Catalog,
+    /// The claims of non-idempotent requests.
+    pub claims: Claims,
+    /// The gangs.
+    pub gangs: Gangs,
+    /// The workers.
+    pub fleet: Fleet,
+    writers: BTreeMap<Name, Writer>,
+}
+
+impl Ledger {
+    /// Tells whether `batch` can be applied with the configuration that was read so far.
+    pub fn can_apply(&self, staged: &Staged, batch: &Batch) -> bool {
+        batch.cfg <= self.catalog.next.max(staged.next)
+    }
+
+    /// Applies the control record at `offset`.
+    ///
+    /// A record below the ledger's next offset is passed over.
+    pub fn apply(&mut self, offset: Offset, batch: &Batch, staged: &mut Staged) -> Applied {
+        let mut applied = Applied::default();
+        if offset < self.next {
+            return applied;
+        }
+        self.next = offset + 1;
+        self.move_clock(batch.at_ms);
+        applied.changes = self.enforce(batch.cfg, staged);
+        let origin = Origin {
+            offset,
+            id: batch.id.clone(),
+            cfg: self.catalog.next,
+            at_ms: self.clock_ms,
+        };
+        let fresh = self.count(&batch.id);
+        for entry in &batch.entries {
+            let verdict = match fresh {
+                true => self.rule(&origin, entry, &mut applied.moved),
+                false => Err(Void::Repeated),
+            };
+            applied.rulings.push(Ruling {
+                origin: origin.clone(),
+                entry: entry.clone(),
+                verdict,
+            });
+        }
+        self.claims.expire(self.clock_ms);
+        self.gangs.forget();
+        applied
+    }
+
+    /// Passes over a control record that nobody can decode.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next = self.next.max(offset + 1);
+    }
+
+    /// Returns a hash of the whole ledger.
+    pub fn digest(&self) -> u64 {
+        let text = serde_json::to_vec(self).unwrap_or_default();
+        xxhash_rust::xxh3::xxh3_64(&text)
+    }
+
+    fn move_clock(&mut self, stamp_ms: u64) {
+        let most = match self.clock_ms {
+            0 => stamp_ms,
+            clock_ms => clock_ms + CLOCK_STEP_MS,
+        };
+        self.clock_ms = self.clock_ms.max(stamp_ms.min(most));
+    }
+
+    fn enforce(&mut self, cfg: Offset, staged: &mut Staged) -> Vec<Ruled> {
+        let mut changes = Vec::new();
+        while let Some(record) = staged.records.front() {
+            if record.offset >= cfg {
+                break;
+            }
+            if record.offset >= self.catalog.next {
+                let view = catalog::View { fleet: &self.fleet };
+                changes.push(self.catalog.rule(record, self.next - 1, &view));
+                self.fleet.follow(&self.catalog);
+            }
+            staged.records.pop_front();
+        }
+        self.catalog.next = self.catalog.next.max(cfg);
+        changes
+    }
+
+    fn count(&mut self, id: &BatchId) -> bool {
+        let horizon_ms = self.clock_ms.saturating_sub(WRITER_TTL_MS);
+        self.writers.retain(|_, last| last.at_ms >= horizon_ms);
+        let last = self.writers.entry(id.writer.clone()).or_insert(Writer {
+            boot: 0,
+            seq: 0,
+            at_ms: 0,
+        });
+        let fresh = id.boot > last.boot || (id.boot == last.boot && id.seq > last.seq);
+        if fresh {
+            *last = Writer {
+                boot: id.boot,
+                seq: id.seq,
+                at_ms: self.clock_ms,
+            };
+        }
+        fresh
+    }
+
+    fn rule(&mut self, origin: &Origin, entry: &Entry, moved: &mut Vec<Name>) -> Verdict {
+        match entry {
+            Entry::Claim { .. } | Entry::Settle { .. } => {
+                self.claims.rule(origin, entry, &self.catalog)
+            }
+            Entry::Worker {
+                worker,
+                state,
+                reason,
+            } => {
+                self.fleet.report(worker, *state, reason, origin)?;
+                gangs::follow_worker(self, worker, moved);
+                Ok(())
+            }
+            _ => gangs::rule(self, origin, entry, moved),
+        }
+    }
+}
--- /dev/null
+++ b/src/reducer/peers.rs
@@ -0,0 +1,75 @@
+//! What is known of the other processes of the same kind; it hints and never decides.
+
+use super::event::Heartbeat;
+use super::event::Now;
+use crate::context::Context;
+use crate::platform::Member;
+use crate::platform::Role;
+use crate::prelude::*;
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A peer with the time at which it was last heard.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Peer {
+    /// Its last heartbeat.
+    pub beat: Heartbeat,
+    /// When it was last heard, in milliseconds of monotonic time.
+    pub heard_ms: u64,
+}
+
+/// All peers, and the platform's list of VMs.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Peers {
+    /// The peers, by writer name.
+    pub all: BTreeMap<Name, Peer>,
+    /// The list of VMs as last read.
+    pub list: Vec<Member>,
+}
+
+impl Peers {
+    /// Takes in a heartbeat; one of an earlier boot is passed over.
+    pub fn hear(&mut self, beat: Heartbeat, now: Now) {
+        let older = self
+            .all
+            .get(&beat.from)
+            .is_some_and(|peer| peer.beat.boot > beat.boot);
+        if older {
+            return;
+        }
+        let peer = Peer {
+            heard_ms: now.mono_ms,
+            beat,
+        };
+        self.all.insert(peer.beat.from.clone(), peer);
+    }
+
+    /// Iterates over the peers that were heard lately.
+    pub fn live<'a>(&'a self, ctx: &'a Context, now: Now) -> impl Iterator<Item = &'a Peer> {
+        let silent_ms = ctx.settings.peers.silent_ms;
+        let peers = self.all.values();
+        peers.filter(move |peer| now.mono_ms < peer.heard_ms + silent_ms)
+    }
+
+    /// Returns this process's place in the line for `topic`, 0 for the first.
+    ///
+    /// The line is ordered by rendezvous hashing (Thaler and Ravishankar, 1998) over the live
+    /// processes that are not leaving.
+    pub fn rank(&self, ctx: &Context, now: Now, topic: &str) -> u64 {
+        let own = weight(&ctx.writer, topic);
+        let others = self.live(ctx, now).filter(|peer| !peer.beat.draining);
+        let before = others.filter(|peer| weight(&peer.beat.from, topic) > own);
+        before.count() as u64
+    }
+
+    /// Tells whether the platform's list names `name` as leaving.
+    pub fn leaving(&self, role: Role, name: &str) -> bool {
+        let mut list = self.list.iter();
+        list.any(|vm| vm.role == role && *vm.name == *name && vm.leaving)
+    }
+}
+
+fn weight(writer: &str, topic: &str) -> (u64, String) {
+    let text = format!("{writer}\n{topic}");
+    (xxh3_64(text.as_bytes()), writer.to_owned())
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform.
