feat(runtime): run the reducer between the log, callers, upstreams and workers

Cause: the reducer had no process around it.

Change: one engine task owns the state; modules follow the log, append in groups, settle a lost append answer by reading back the batch's identifier, load and write checkpoints, serve callers and operators, call upstreams over counted connections, sync workers, and exchange acknowledged heartbeats. trefoil-entry and trefoil-placer are thin mains over it.

--- a/src/configs/peers.rs
+++ b/src/configs/peers.rs
@@ -8,8 +8,10 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PeersConfig {
-    /// The address for peers, `IP:port`.
-    pub listen: Name,
+    /// The address of the entry process for its peers, `IP:port`.
+    pub entry_listen: Name,
+    /// The address of the placer process for its peers, `IP:port`.
+    pub placer_listen: Name,
     /// The address of the platform's list of VMs, `IP:port`.
     pub vms_addr: Name,
     /// The time between two reads of the list of VMs.
@@ -23,7 +25,8 @@
 impl Default for PeersConfig {
     fn default() -> Self {
         Self {
-            listen: "127.0.0.1:7300".into(),
+            entry_listen: "127.0.0.1:7300".into(),
+            placer_listen: "127.0.0.1:7400".into(),
             vms_addr: "127.0.0.1:7901".into(),
             vms_ms: 500,
             beat_ms: 250,
--- /dev/null
+++ b/src/modules/callers.rs
@@ -0,0 +1,427 @@
+//! The callers' HTTP interface.
+
+use super::engine::Engine;
+use super::exchange::Answer;
+use super::exchange::Exchange;
+use super::exchange::Final;
+use super::exchange::Payload;
+use crate::configs::CallersConfig;
+use crate::context::Context;
+use crate::fields::Fields;
+use crate::fields::check_name;
+use crate::model::ADJACENCIES;
+use crate::model::Adjacency;
+use crate::model::Job;
+use crate::prelude::*;
+use crate::reducer::Event;
+use crate::reducer::effect::Code;
+use crate::reducer::effect::Ran;
+use crate::reducer::effect::Refusal;
+use crate::reducer::effect::Reply;
+use crate::reducer::event::Arrival;
+use crate::reducer::ledger::gangs::MEMBERS_MAX;
+use axum::Json;
+use axum::Router;
+use axum::body::Body;
+use axum::body::to_bytes;
+use axum::extract::Path;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::HeaderName;
+use axum::http::HeaderValue;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use axum::routing::post;
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The header that names the caller's idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// The header with the time that the caller gives the request, in milliseconds.
+pub const DEADLINE_HEADER: &str = "deadline-ms";
+/// The header with the wall time at which the caller first sent the request, in milliseconds.
+pub const ISSUED_HEADER: &str = "issued-at-ms";
+/// The header of an answer with the configuration offset in force.
+pub const CONFIG_HEADER: &str = "trefoil-config";
+/// The header of an answer with the identifier under which the decision is audited.
+pub const REQUEST_HEADER: &str = "trefoil-request";
+/// The header of an answer with the upstream that gave it.
+pub const RUNNER_HEADER: &str = "trefoil-runner";
+
+const DEADLINE_MAX_MS: u64 = 86_400_000;
+const KEY_MAX_BYTES: usize = 128;
+
+/// What the handlers share.
+#[derive(Debug, Clone)]
+pub struct Callers {
+    ctx: Arc<Context>,
+    engine: Engine,
+    exchange: Arc<Exchange>,
+    counter: Arc<AtomicU64>,
+}
+
+/// Makes the router of the callers' interface.
+pub fn router(ctx: Arc<Context>, engine: Engine, exchange: Arc<Exchange>) -> Router {
+    let callers = Callers {
+        ctx,
+        engine,
+        exchange,
+        counter: Arc::new(AtomicU64::new(0)),
+    };
+    Router::new()
+        .route("/v1/workspaces/{ws}/requests/{kind}", post(request))
+        .route("/v1/workspaces/{ws}/jobs", post(submit))
+        .route("/v1/workspaces/{ws}/jobs/{job}", get(read).delete(cancel))
+        .with_state(callers)
+}
+
+/// Tells the reducer when a caller went away before its answer.
+struct Watch {
+    engine: Engine,
+    req: Name,
+    done: bool,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if !self.done {
+            let req = self.req.clone();
+            self.engine.try_tell(Event::Gone { req });
+        }
+    }
+}
+
+impl Callers {
+    fn config(&self) -> &CallersConfig {
+        &self.ctx.settings.callers
+    }
+
+    fn next_id(&self) -> Name {
+        let number = self.counter.fetch_add(1, Ordering::Relaxed);
+        let vm = &self.ctx.settings.vm;
+        format!("{vm}-{:x}-{number}", self.ctx.boot).into()
+    }
+
+    /// Gives the reducer a call and waits for its one final answer.
+    async fn call(
+        &self,
+        req: &Name,
+        payload: Option<Payload>,
+        event: Event,
+    ) -> std::result::Result<Final, Response> {
+        if self.exchange.len() as u64 >= self.config().open_calls {
+            return Err(refusal(503, Code::QueueFull, Ran::No, Some(1_000)));
+        }
+        let answer: oneshot::Receiver<Final> = self.exchange.open(req, payload);
+        let mut watch = Watch {
+            engine: self.engine.clone(),
+            req: req.clone(),
+            done: false,
+        };
+        if !self.engine.tell(event).await {
+            return Err(refusal(503, Code::Draining, Ran::No, Some(0)));
+        }
+        let done = answer.await;
+        watch.done = true;
+        done.map_err(|_| refusal(503, Code::Draining, Ran::Unknown, Some(0)))
+    }
+}
+
+async fn request(
+    State(callers): State<Callers>,
+    Path((workspace, kind)): Path<(String, String)>,
+    http: Request,
+) -> Response {
+    let mut findings = Findings::default();
+    check_name(&workspace, "path:workspace", &mut findings);
+    check_name(&kind, "path:kind", &mut findings);
+    let headers = http.headers().clone();
+    let key = read_key(&headers, &mut findings);
+    let deadline_ms = read_number(&headers, DEADLINE_HEADER, DEADLINE_MAX_MS, &mut findings);
+    let issued_ms = read_number(&headers, ISSUED_HEADER, u64::MAX, &mut findings);
+    let body = read_body(http, callers.config().body_bytes, &mut findings).await;
+    if !findings.is_empty() {
+        return bad_input(&findings);
+    }
+    let req = callers.next_id();
+    let payload = Payload {
+        kind: kind.as_str().into(),
+        workspace: workspace.as_str().into(),
+        key: key.clone(),
+        media: header(&headers, "content-type"),
+        body: body.clone(),
+    };
+    let arrival = Arrival {
+        req: req.clone(),
+        workspace: payload.workspace.clone(),
+        kind: payload.kind.clone(),
+        key,
+        issued_ms,
+        deadline_ms,
+        print: print(&workspace, &kind, &body),
+        bytes: body.len() as u64,
+    };
+    match callers
+        .call(&req, Some(payload), Event::Arrive(arrival))
+        .await
+    {
+        Ok(done) => answer(&req, done),
+        Err(refused) => refused,
+    }
+}
+
+async fn submit(
+    State(callers): State<Callers>,
+    Path(workspace): Path<String>,
+    http: Request,
+) -> Response {
+    let mut findings = Findings::default();
+    check_name(&workspace, "path:workspace", &mut findings);
+    let body = read_body(http, callers.config().body_bytes, &mut findings).await;
+    let req = callers.next_id();
+    let job = match serde_json::from_slice::<Value>(&body) {
+        Ok(value) => read_job(&value, &workspace, &req, &mut findings),
+        Err(error) => {
+            findings.add("body", error.to_string());
+            None
+        }
+    };
+    let Some(job) = job.filter(|_| findings.is_empty()) else {
+        return bad_input(&findings);
+    };
+    let event = Event::Submit {
+        req: req.clone(),
+        job,
+    };
+    match callers.call(&req, None, event).await {
+        Ok(done) => answer(&req, done),
+        Err(refused) => refused,
+    }
+}
+
+async fn cancel(
+    State(callers): State<Callers>,
+    Path((workspace, job)): Path<(String, String)>,
+) -> Response {
+    let req = callers.next_id();
+    let event = Event::Cancel {
+        req: req.clone(),
+        workspace: workspace.into(),
+        job: job.into(),
+    };
+    match callers.call(&req, None, event).await {
+        Ok(done) => answer(&req, done),
+        Err(refused) => refused,
+    }
+}
+
+async fn read(
+    State(callers): State<Callers>,
+    Path((workspace, job)): Path<(String, String)>,
+) -> Response {
+    let found = callers.engine.ask(move |state, _| {
+        let gang = state.ledger.gangs.all.get(job.as_str());
+        let own = gang.filter(|gang| *gang.job.workspace == *workspace);
+        own.map(|gang| json!({"job": gang, "cfg": state.ledger.catalog.next}))
+    });
+    match found.await.flatten() {
+        Some(gang) => Json(gang).into_response(),
+        None => refusal(404, Code::UnknownJob, Ran::No, None),
+    }
+}
+
+/// Reads the body of a submitted job.
+pub fn read_job(
+    value: &Value,
+    workspace: &str,
+    req: &Name,
+    findings: &mut Findings,
+) -> Option<Job> {
+    let mut fields = Fields::open(value, "body", findings)?;
+    let id = match value.get("id") {
+        Some(_) => fields.name("id", findings),
+        None => req.clone(),
+    };
+    let kind = fields.name("kind", findings);
+    let members = fields.number("members", 1..=u64::from(MEMBERS_MAX), findings) as u32;
+    let accelerators = fields.number_or("accelerators", 0, 0..=64, findings) as u32;
+    let cores = fields.number_or("cores", 0, 0..=4_096, findings) as u32;
+    let memory_gb = fields.number_or("memory_gb", 0, 0..=65_536, findings) as u32;
+    let adjacency = fields.choice_or("adjacency", Adjacency::Any, &ADJACENCIES, findings);
+    let run_ms = fields.number("run_ms", 1..=31_536_000_000, findings);
+    fields.finish(findings);
+    Some(Job {
+        id,
+        workspace: workspace.into(),
+        kind,
+        members,
+        accelerators,
+        cores,
+        memory_gb,
+        adjacency,
+        run_ms,
+    })
+}
+
+fn answer(req: &Name, done: Final) -> Response {
+    let mut response = match done.reply {
+        Reply::Upstream { runner, .. } => match done.answer {
+            Some(answer) => from_upstream(answer, &runner),
+            None => refusal(502, Code::UpstreamBroken, Ran::Yes, None),
+        },
+        Reply::Kept(kept) => {
+            let body = kept.body.as_deref().and_then(from_hex).unwrap_or_default();
+            let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+            let mut response = (status, body).into_response();
+            if let Ok(media) = HeaderValue::from_str(&kept.media) {
+                response.headers_mut().insert("content-type", media);
+            }
+            let yes = HeaderValue::from_static("true");
+            response.headers_mut().insert("idempotency-replayed", yes);
+            response
+        }
+        Reply::Refused(refused) => problem(&refused, req),
+        Reply::JobAccepted { job, offset } => {
+            let body = json!({"job": job, "offset": offset, "cfg": done.cfg});
+            (StatusCode::CREATED, Json(body)).into_response()
+        }
+        Reply::JobCancelled { job } => {
+            Json(json!({"job": job, "cancelled": true, "cfg": done.cfg})).into_response()
+        }
+    };
+    let headers = response.headers_mut();
+    headers.insert(CONFIG_HEADER, HeaderValue::from(done.cfg));
+    if let Ok(id) = HeaderValue::from_str(req) {
+        headers.insert(REQUEST_HEADER, id);
+    }
+    response
+}
+
+fn from_upstream(answer: Answer, runner: &Name) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = (status, Body::from(answer.body)).into_response();
+    let headers = response.headers_mut();
+    headers.remove("content-type");
+    for header in &answer.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    if let Ok(runner) = HeaderValue::from_str(runner) {
+        headers.insert(RUNNER_HEADER, runner);
+    }
+    response
+}
+
+fn problem(refused: &Refusal, req: &str) -> Response {
+    let body = json!({
+        "type": "about:blank",
+        "title": refused.detail,
+        "status": refused.status,
+        "code": refused.code,
+        "ran": refused.ran,
+        "request": req,
+    });
+    let status = StatusCode::from_u16(refused.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = (status, Json(body)).into_response();
+    let headers = response.headers_mut();
+    let media = HeaderValue::from_static("application/problem+json");
+    headers.insert("content-type", media);
+    if let Some(retry_ms) = refused.retry_ms {
+        headers.insert("retry-after", HeaderValue::from(retry_ms.div_ceil(1_000)));
+    }
+    response
+}
+
+fn refusal(status: u16, code: Code, ran: Ran, retry_ms: Option<u64>) -> Response {
+    let refused = Refusal {
+        status,
+        code,
+        ran,
+        retry_ms,
+        detail: code.to_string(),
+    };
+    problem(&refused, "")
+}
+
+fn bad_input(findings: &Findings) -> Response {
+    let body = json!({
+        "type": "about:blank",
+        "title": "the call is not well formed",
+        "status": 400,
+        "code": "bad_input",
+        "ran": Ran::No,
+        "findings": findings,
+    });
+    let mut response = (StatusCode::BAD_REQUEST, Json(body)).into_response();
+    let media = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert("content-type", media);
+    response
+}
+
+async fn read_body(http: Request, most: u64, findings: &mut Findings) -> Bytes {
+    match to_bytes(http.into_body(), most as usize).await {
+        Ok(body) => body,
+        Err(_) => {
+            findings.add(
+                "body",
+                format!("must come whole, with at most {most} bytes"),
+            );
+            Bytes::new()
+        }
+    }
+}
+
+fn read_key(headers: &HeaderMap, findings: &mut Findings) -> Option<Name> {
+    let key = header(headers, KEY_HEADER)?;
+    let clean = key.bytes().all(|byte| byte.is_ascii_graphic());
+    if key.is_empty() || key.len() > KEY_MAX_BYTES || !clean {
+        let text = format!("must be 1 to {KEY_MAX_BYTES} visible ASCII characters");
+        findings.add(format!("header:{KEY_HEADER}"), text);
+    }
+    Some(key.into())
+}
+
+fn read_number(headers: &HeaderMap, name: &str, most: u64, findings: &mut Findings) -> Option<u64> {
+    let text = header(headers, name)?;
+    match text.parse::<u64>() {
+        Ok(number) if (1..=most).contains(&number) => Some(number),
+        _ => {
+            let text = format!("must be a whole number from 1 to {most}");
+            findings.add(format!("header:{name}"), text);
+            None
+        }
+    }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?;
+    Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
+}
+
+fn print(workspace: &str, kind: &str, body: &[u8]) -> u64 {
+    let mut text = format!("{workspace}\n{kind}\n").into_bytes();
+    text.extend_from_slice(body);
+    xxh3_64(&text)
+}
+
+/// Writes bytes as hexadecimal text.
+pub fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    let pairs = (0..text.len()).step_by(2);
+    let bytes = pairs.map(|i| u8::from_str_radix(text.get(i..i + 2)?, 16).ok());
+    bytes.collect()
+}
--- /dev/null
+++ b/src/modules/main.rs
@@ -0,0 +1,81 @@
+//! What the mains of the long-running processes share: arguments, settings, logs and signals.
+
+use super::process;
+use crate::configs::Settings;
+use crate::context::Process;
+use crate::prelude::*;
+use argh::FromArgs;
+use log::LevelFilter;
+use simplelog::ConfigBuilder;
+use simplelog::WriteLogger;
+use std::process::ExitCode;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Runs one process of trefoilgauge until it is told to stop.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// the settings file, JSON with comments
+    #[argh(positional)]
+    settings: String,
+}
+
+/// Runs a process: reads its settings, starts it, and drains it on a termination signal.
+pub fn run(process: Process) -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings = match read_settings(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(2);
+        }
+    };
+    start_log(&settings.ops.level);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(serve(process, settings)),
+        Err(error) => fail(&error),
+    }
+}
+
+async fn serve(process: Process, settings: Settings) -> ExitCode {
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        return fail(&"signals cannot be watched");
+    };
+    let running = match process::spawn(process, settings).await {
+        Ok(running) => running,
+        Err(error) => return fail(&error),
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    running.drain().await;
+    ExitCode::SUCCESS
+}
+
+fn read_settings(path: &str) -> Result<Settings, Findings> {
+    let text =
+        std::fs::read_to_string(path).map_err(|error| Findings::one(path, error.to_string()))?;
+    jsonc_parser::parse_to_serde_value(&text, &jsonc_parser::ParseOptions::default())
+        .map_err(|error| Findings::one(path, error.to_string()))
+}
+
+/// Logs to standard error from `level` on.
+pub fn start_log(level: &str) {
+    let level = level.parse().unwrap_or(LevelFilter::Info);
+    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
+    if WriteLogger::init(level, config, std::io::stderr()).is_err() {
+        eprintln!("the log was started before");
+    }
+}
+
+fn fail(error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("cannot start: {error}");
+    ExitCode::FAILURE
+}
--- a/src/modules/mod.rs
+++ b/src/modules/mod.rs
@@ -1,1 +1,22 @@
-//! What carries out effects and brings events.
+//! What carries out effects and brings events: one file per module, with its options in
+//! [`crate::configs`].
+
+pub mod append;
+pub mod audit;
+pub mod callers;
+pub mod checkpoint;
+pub mod dispatch;
+pub mod engine;
+pub mod exchange;
+pub mod http;
+pub mod lifecycle;
+pub mod log;
+pub mod main;
+pub mod members;
+pub mod ops;
+pub mod peers;
+pub mod process;
+pub mod tail;
+pub mod timings;
+pub mod wire;
+pub mod workers;
--- /dev/null
+++ b/src/modules/peers.rs
@@ -0,0 +1,199 @@
+//! Heartbeats between processes of the same kind, over TCP.
+//!
+//! Each process sends to every other one over a connection of its own. A heartbeat must be
+//! acknowledged in time, or the connection is closed and made anew: one that went silent while
+//! new ones work does not hide a live peer for long.
+
+use super::engine::Engine;
+use super::wire;
+use crate::configs::PeersConfig;
+use crate::context::Context;
+use crate::platform::Member;
+use crate::platform::Role;
+use crate::prelude::*;
+use crate::reducer::Event;
+use crate::reducer::Now;
+use crate::reducer::State;
+use crate::reducer::event::Heartbeat;
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use prost::Message;
+use std::collections::HashMap;
+use std::io;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// The most connections that peers may hold open.
+const PEERS_MAX: usize = 256;
+
+/// The tasks that speak with peers.
+#[derive(Debug)]
+pub struct Links {
+    /// The address that was bound.
+    pub addr: std::net::SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Links {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Binds `listen` and exchanges heartbeats with the processes of `role` in the list.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn bind(
+    ctx: Arc<Context>,
+    listen: &str,
+    role: Role,
+    engine: Engine,
+    list: watch::Receiver<Vec<Member>>,
+) -> io::Result<Links> {
+    let listener = TcpListener::bind(listen).await?;
+    let addr = listener.local_addr()?;
+    let accepting = accept(listener, ctx.settings.peers.clone(), engine.clone());
+    let sending = send_to_all(ctx, role, engine, list);
+    let tasks = vec![tokio::spawn(accepting), tokio::spawn(sending)];
+    Ok(Links { addr, tasks })
+}
+
+/// Says what this process knows of itself.
+pub fn heartbeat(ctx: &Context, state: &State, _now: Now) -> Heartbeat {
+    Heartbeat {
+        from: ctx.writer.clone(),
+        centre: ctx.settings.centre.clone(),
+        boot: ctx.boot,
+        control: state.ledger.next,
+        cfg: state.staged.next.max(state.ledger.catalog.next),
+        log_up: state.log_up,
+        draining: state.draining,
+        loads: state.requests.loads(),
+        digest: state.digest,
+    }
+}
+
+async fn accept(listener: TcpListener, config: PeersConfig, engine: Engine) {
+    let mut links = JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(config.beat_ms)).await;
+            continue;
+        };
+        while links.try_join_next().is_some() {}
+        if links.len() >= PEERS_MAX {
+            continue;
+        }
+        links.spawn(receive(stream, config.silent_ms, engine.clone()));
+    }
+}
+
+/// Takes heartbeats until the connection is silent or sends what is none.
+async fn receive(stream: TcpStream, silent_ms: u64, engine: Engine) {
+    let mut frames = framed(stream);
+    let limit = Duration::from_millis(silent_ms);
+    while let Ok(Some(Ok(frame))) = tokio::time::timeout(limit, frames.next()).await {
+        let Ok(beat) = wire::Heartbeat::decode(frame) else {
+            log::warn!("a peer sent a frame that is no heartbeat");
+            return;
+        };
+        let ack = wire::Ack { seq: beat.seq };
+        if !engine.try_tell(Event::Peer(beat.into())) {
+            metrics::counter!("peer_beats_dropped").increment(1);
+        }
+        let ack = Bytes::from(ack.encode_to_vec());
+        if frames.send(ack).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Keeps one sending task for each peer in the list.
+async fn send_to_all(
+    ctx: Arc<Context>,
+    role: Role,
+    engine: Engine,
+    mut list: watch::Receiver<Vec<Member>>,
+) {
+    let mut links: HashMap<Name, JoinHandle<()>> = HashMap::new();
+    loop {
+        let addrs = peer_addrs(&ctx, role, &list.borrow_and_update());
+        links.retain(|addr, link| {
+            let stays = addrs.contains(addr);
+            if !stays {
+                link.abort();
+            }
+            stays
+        });
+        for addr in addrs {
+            links
+                .entry(addr.clone())
+                .or_insert_with(|| tokio::spawn(send(ctx.clone(), addr, engine.clone())));
+        }
+        if list.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn peer_addrs(ctx: &Context, role: Role, list: &[Member]) -> Vec<Name> {
+    let others = list
+        .iter()
+        .filter(|vm| vm.role == role && vm.name != ctx.settings.vm);
+    others.take(PEERS_MAX).map(|vm| vm.addr.clone()).collect()
+}
+
+async fn send(ctx: Arc<Context>, addr: Name, engine: Engine) {
+    loop {
+        let limit = Duration::from_millis(ctx.settings.peers.silent_ms);
+        if let Ok(Ok(stream)) = tokio::time::timeout(limit, TcpStream::connect(&*addr)).await {
+            beat_until_silent(&ctx, stream, &engine).await;
+        }
+        tokio::time::sleep(Duration::from_millis(ctx.settings.peers.beat_ms)).await;
+    }
+}
+
+async fn beat_until_silent(ctx: &Arc<Context>, stream: TcpStream, engine: &Engine) {
+    let config = &ctx.settings.peers;
+    let limit = Duration::from_millis(config.silent_ms);
+    let mut frames = framed(stream);
+    for seq in 1.. {
+        let own = ctx.clone();
+        let beat = engine.ask(move |state, now| heartbeat(&own, state, now));
+        let Some(beat) = beat.await else {
+            return;
+        };
+        let mut frame = wire::Heartbeat::from(beat);
+        frame.seq = seq;
+        let sent = frames.send(Bytes::from(frame.encode_to_vec()));
+        if !matches!(tokio::time::timeout(limit, sent).await, Ok(Ok(()))) {
+            return;
+        }
+        let Ok(Some(Ok(ack))) = tokio::time::timeout(limit, frames.next()).await else {
+            return;
+        };
+        if !wire::Ack::decode(ack).is_ok_and(|ack| ack.seq == seq) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(config.beat_ms)).await;
+    }
+}
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    drop(stream.set_nodelay(true));
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(wire::FRAME_MAX_BYTES)
+        .new_codec();
+    Framed::new(stream, codec)
+}
--- /dev/null
+++ b/src/modules/workers.rs
@@ -0,0 +1,44 @@
+//! Calls the workers.
+
+use super::engine::Carry;
+use super::engine::Engine;
+use super::http::Client;
+use crate::platform::SyncAnswer;
+use crate::reducer::Effect;
+use crate::reducer::Event;
+use crate::reducer::State;
+
+/// Carries syncs to the workers and their answers to the reducer.
+#[derive(Debug)]
+pub struct Workers {
+    client: Client,
+    engine: Engine,
+}
+
+impl Workers {
+    /// Makes a caller of workers, whose calls take at most `call_ms` milliseconds.
+    pub fn new(call_ms: u64, engine: Engine) -> Self {
+        Self {
+            client: Client::new(call_ms),
+            engine,
+        }
+    }
+}
+
+impl Carry for Workers {
+    fn carry(&mut self, effect: Effect, _state: &State) {
+        let Effect::Sync { worker, addr, call } = effect else {
+            return;
+        };
+        let client = self.client.clone();
+        let engine = self.engine.clone();
+        tokio::spawn(async move {
+            let answer = client.post::<_, SyncAnswer>(&addr, "/v1/sync", &call).await;
+            if let Err(error) = &answer {
+                log::debug!("worker {worker} does not answer: {error}");
+            }
+            let answer = answer.ok();
+            engine.tell(Event::Synced { worker, answer }).await;
+        });
+    }
+}
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -1,5 +1,6 @@
 //! Everything that can happen to the reducer.
 
+use super::ledger::Ledger;
 use crate::model::Job;
 use crate::platform::Member;
 use crate::platform::SyncAnswer;
@@ -108,6 +109,11 @@
 pub enum Event {
     /// Time has passed.
     Tick,
+    /// The newest checkpoint was loaded; an empty ledger if there is none.
+    Restore {
+        /// The ledger that it holds.
+        ledger: Box<Ledger>,
+    },
     /// A configuration record was read from the log.
     Config {
         /// Its offset.
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -5,7 +5,9 @@
 use super::effect::Ran;
 use super::effect::Refusal;
 use super::effect::Reply;
+use super::event::Digest;
 use super::event::Event;
+use super::event::Heartbeat;
 use super::event::Now;
 use super::keeper::Keeper;
 use super::ledger::Applied;
@@ -35,6 +37,9 @@
 /// The time in which the next VM in line puts a configuration in force, in milliseconds.
 const TOUCH_RANK_MS: u64 = 300;
 
+/// The control records between two hashes of the ledger.
+const DIGEST_EVERY: u64 = 1_000;
+
 /// A call about a job that waits for its record to be read back.
 #[derive(Debug, Clone, PartialEq)]
 struct JobCall {
@@ -56,12 +61,16 @@
     pub requests: Requests,
     /// The workers that are kept; used by the placer process.
     pub keeper: Keeper,
+    /// Whether the newest checkpoint was loaded.
+    pub restored: bool,
     /// Whether the log was read up to its end once.
     pub caught_up: bool,
     /// Whether the log was reached at the last try.
     pub log_up: bool,
     /// Whether a planned stop began.
     pub draining: bool,
+    /// The hash of the ledger at the last offset at which all processes take one.
+    pub digest: Option<Digest>,
     calls: BTreeMap<Name, JobCall>,
     proposed: BTreeMap<Name, u64>,
     planned_ms: u64,
@@ -86,6 +95,7 @@
     let mut effects = Vec::new();
     match event {
         Event::Tick => tick(ctx, state, now, &mut effects),
+        Event::Restore { ledger } => restore(state, *ledger),
         Event::Config { offset, data } => stage(state, offset, data),
         Event::Control { offset, batch } => control(ctx, state, now, offset, &batch, &mut effects),
         Event::Garbled { offset } => {
@@ -102,7 +112,7 @@
             job,
         } => cancel(ctx, state, now, req, &workspace, job, &mut effects),
         Event::Members { list } => state.peers.list = list,
-        Event::Peer(beat) => state.peers.hear(beat, now),
+        Event::Peer(beat) => peer(state, now, beat, &mut effects),
         Event::Synced { worker, answer } => {
             let ledger = &state.ledger;
             let keeper = &mut state.keeper;
@@ -139,6 +149,19 @@
     (&mut state.requests, view)
 }
 
+fn restore(state: &mut State, ledger: Ledger) {
+    state.restored = true;
+    if ledger.next <= state.ledger.next && ledger.catalog.next <= state.ledger.catalog.next {
+        return;
+    }
+    let cfg = ledger.catalog.next;
+    state.ledger = ledger;
+    state.staged.records.retain(|record| record.offset >= cfg);
+    state.staged.next = state.staged.next.max(cfg);
+    state.keeper = Keeper::default();
+    state.keeper.follow(&state.ledger, &[]);
+}
+
 fn stage(state: &mut State, offset: Offset, data: Vec<u8>) {
     if offset < state.staged.next || offset < state.ledger.catalog.next {
         return;
@@ -188,6 +211,12 @@
             state.planned_ms = 0;
         }
     }
+    if offset % DIGEST_EVERY == DIGEST_EVERY - 1 {
+        state.digest = Some(Digest {
+            at: state.ledger.next,
+            hash: state.ledger.digest(),
+        });
+    }
     let every = ctx.settings.log.checkpoint_every;
     if ctx.process == Process::Placer && offset % every == every - 1 {
         let rank = state.peers.rank(ctx, now, "checkpoint");
@@ -197,6 +226,19 @@
     }
 }
 
+/// Takes in a heartbeat; a ledger that differs at the same offset is said loudly.
+fn peer(state: &mut State, now: Now, beat: Heartbeat, effects: &mut Vec<Effect>) {
+    if let (Some(own), Some(other)) = (state.digest, beat.digest)
+        && own.at == other.at
+        && own.hash != other.hash
+    {
+        let cfg = state.ledger.catalog.next;
+        let note = Note::new(&events::LEDGER_DIVERGED, &beat.from, cfg);
+        effects.push(Effect::Note(note.with("at", own.at)));
+    }
+    state.peers.hear(beat, now);
+}
+
 fn tick(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
     touch(ctx, state, now, effects);
     match ctx.process {
