--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! What must be agreed is a record in the platform's log, and is in force or void by a pure
 //! function of the log's prefix ([`reducer::ledger`]).
 
+pub mod bench;
 pub mod configs;
 pub mod context;
 pub mod events;
