feat(faults): run every promise at every step under every fault

The promises had no proof beyond single tests of the ledger. The matrix drives the real reducer of two entry and two placer processes between fakes of the log, workers and runners at the interface, on a virtual clock; a cell is held only if the fault took effect in that run and the checker was put to the test.

--- /dev/null
+++ b/src/bench/faults/matrix.rs
@@ -0,0 +1,246 @@
+//! The matrix: every promise at every step under every fault.
+
+use super::checkers::Bounds;
+use super::checkers::Checkers;
+use super::checkers::Promise;
+use super::fault::FAULTS;
+use super::fault::Fault;
+use super::fault::PAIRS;
+use super::fault::inject;
+use super::plan;
+use super::steps::Class;
+use super::steps::STEPS;
+use super::steps::Step;
+use super::world::World;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+
+/// The longest run, in virtual milliseconds.
+const RUN_MS: u64 = 16_500;
+/// When a change is published after a fault, in milliseconds.
+const CHANGE_MS: u64 = 100;
+
+/// Whether a promise held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// The fault took effect, the promise was put to the test, and it held.
+    Held,
+    /// It did not hold.
+    Broken,
+    /// The fault did not take effect, or nothing put the promise to the test.
+    NotRun,
+}
+
+/// One cell of the matrix.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Cell {
+    /// The promise.
+    pub promise: Promise,
+    /// The step.
+    pub step: Step,
+    /// The fault, or two joined by `+`.
+    pub fault: String,
+    /// Whether it held.
+    pub verdict: Verdict,
+    /// What was seen.
+    pub detail: String,
+}
+
+/// The whole matrix.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// The seed of the runs.
+    pub seed: u64,
+    /// The cells.
+    pub cells: Vec<Cell>,
+    /// The longest times over all runs.
+    pub bounds: Bounds,
+}
+
+impl Report {
+    /// Returns how many cells have this verdict.
+    pub fn count(&self, verdict: Verdict) -> usize {
+        let cells = self.cells.iter();
+        cells.filter(|cell| cell.verdict == verdict).count()
+    }
+}
+
+/// One run of the world.
+#[derive(Debug)]
+pub struct Run {
+    /// Whether the step was reached.
+    pub reached: bool,
+    /// How often each fault took effect.
+    pub hits: BTreeMap<Fault, u32>,
+    /// What the checkers found.
+    pub checks: Checkers,
+}
+
+#[derive(Debug, Clone)]
+struct Case {
+    step: Step,
+    faults: Vec<Fault>,
+}
+
+/// Runs the whole matrix with `threads` threads.
+pub fn run(seed: u64, pairs: bool, threads: usize) -> Report {
+    let cases = cases(pairs);
+    let found: Mutex<BTreeMap<usize, Run>> = Mutex::default();
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let i = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    let Some(case) = cases.get(i) else {
+                        return;
+                    };
+                    let run = play(case.step, &case.faults, seed);
+                    let mut found = found.lock().unwrap_or_else(PoisonError::into_inner);
+                    found.insert(i, run);
+                }
+            });
+        }
+    });
+    let found = found.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let mut report = Report {
+        seed,
+        ..Report::default()
+    };
+    for (i, run) in &found {
+        report.bounds.merge(&run.checks.bounds);
+        if let Some(case) = cases.get(*i) {
+            report.cells.extend(judge(case, run));
+        }
+    }
+    report
+}
+
+/// Plays one run: the faults strike when the step is reached.
+pub fn play(step: Step, faults: &[Fault], seed: u64) -> Run {
+    let mut world = World::new(seed);
+    plan::schedule(&mut world, step);
+    let mut struck_ms = None;
+    let mut changed = false;
+    while world.now_ms < RUN_MS {
+        world.advance();
+        if struck_ms.is_none() && step.reached(&world) {
+            struck_ms = Some(world.now_ms);
+            let subject = step.subject(&world);
+            let worker = world.victim(plan::MAIN_JOB);
+            for fault in faults {
+                inject(&mut world, *fault, subject, worker);
+            }
+        }
+        let due = struck_ms.is_some_and(|at_ms| world.now_ms >= at_ms + CHANGE_MS);
+        if due && !changed {
+            changed = true;
+            plan::change_under_fault(&mut world);
+        }
+    }
+    let mut checks = std::mem::take(&mut world.checks);
+    checks.finish(&world);
+    Run {
+        reached: struck_ms.is_some(),
+        hits: std::mem::take(&mut world.hits),
+        checks,
+    }
+}
+
+fn cases(pairs: bool) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for step in STEPS {
+        for fault in FAULTS {
+            cases.push(Case {
+                step: *step,
+                faults: vec![fault],
+            });
+        }
+        for pair in PAIRS.iter().filter(|_| pairs) {
+            cases.push(Case {
+                step: *step,
+                faults: pair.to_vec(),
+            });
+        }
+    }
+    cases
+}
+
+/// Returns the promises that a step can put to the test.
+fn promises(class: Class) -> &'static [Promise] {
+    match class {
+        Class::Request => &[
+            Promise::RightAnswer,
+            Promise::TrueRefusal,
+            Promise::AtMostOnce,
+            Promise::Leaving,
+            Promise::EqualLedgers,
+        ],
+        Class::Gang => &[
+            Promise::Guarantee,
+            Promise::WholeGang,
+            Promise::EqualLedgers,
+        ],
+        Class::Config => &[Promise::Configuration, Promise::EqualLedgers],
+        Class::Vm => &[
+            Promise::Guarantee,
+            Promise::WholeGang,
+            Promise::RightAnswer,
+            Promise::TrueRefusal,
+            Promise::AtMostOnce,
+            Promise::Leaving,
+            Promise::PlannedStop,
+            Promise::Configuration,
+            Promise::EqualLedgers,
+        ],
+    }
+}
+
+fn judge(case: &Case, run: &Run) -> Vec<Cell> {
+    let names = case.faults.iter().map(|fault| name(*fault));
+    let fault = names.collect::<Vec<_>>().join("+");
+    let cells = promises(case.step.class()).iter().map(|promise| {
+        let (verdict, detail) = verdict(case, run, *promise);
+        Cell {
+            promise: *promise,
+            step: case.step,
+            fault: fault.clone(),
+            verdict,
+            detail,
+        }
+    });
+    cells.collect()
+}
+
+fn verdict(case: &Case, run: &Run, promise: Promise) -> (Verdict, String) {
+    if !run.reached {
+        return (Verdict::NotRun, "the step was not reached".into());
+    }
+    let found = run.checks.findings.iter();
+    let broken: Vec<&str> = found
+        .filter(|one| one.promise == promise)
+        .map(|one| one.text.as_str())
+        .collect();
+    if !broken.is_empty() {
+        return (Verdict::Broken, broken.join("; "));
+    }
+    let idle = case.faults.iter().find(|one| !run.hits.contains_key(one));
+    if let Some(fault) = idle {
+        let text = format!("{} did not take effect", name(*fault));
+        return (Verdict::NotRun, text);
+    }
+    match run.checks.tested.get(&promise) {
+        Some(count) => (Verdict::Held, format!("put to the test {count} times")),
+        None => (Verdict::NotRun, "nothing put it to the test".into()),
+    }
+}
+
+/// Returns the name of a fault as the report prints it.
+pub fn name(fault: Fault) -> String {
+    let value = serde_json::to_value(fault).unwrap_or_default();
+    value.as_str().unwrap_or_default().to_owned()
+}
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Measures the decisions and their cost by replays with a virtual clock.
 
+pub mod faults;
 pub mod report;
 
 use crate::prelude::*;
--- a/src/bin/trefoil_bench.rs
+++ b/src/bin/trefoil_bench.rs
@@ -1,9 +1,11 @@
-//! Measures the policy and its cost: `trefoil-bench policy|scale`.
+//! Measures the policy and its cost, and proves the promises: `trefoil-bench policy|faults`.
 
 use argh::FromArgs;
 use std::process::ExitCode;
 use trefoilgauge::bench;
 use trefoilgauge::bench::Deployment;
+use trefoilgauge::bench::faults::matrix;
+use trefoilgauge::bench::faults::matrix::Verdict;
 use trefoilgauge::bench::report;
 
 /// Measures the policy and its cost.
@@ -17,6 +19,7 @@
 #[argh(subcommand)]
 enum Command {
     Policy(PolicyArgs),
+    Faults(FaultsArgs),
 }
 
 /// Replays a deployment's trace under each policy.
@@ -34,6 +37,24 @@
     json: bool,
 }
 
+/// Runs every promise at every step under every fault.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "faults")]
+struct FaultsArgs {
+    /// the seed of the delays
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// leave out the pairs of faults
+    #[argh(switch)]
+    single: bool,
+    /// how many threads run at once
+    #[argh(option, default = "2")]
+    threads: usize,
+    /// print one line of JSON
+    #[argh(switch)]
+    json: bool,
+}
+
 fn deployment(text: &str) -> Result<Deployment, String> {
     match text {
         "instituto" => Ok(Deployment::Instituto),
@@ -44,6 +65,7 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
+    let mut code = ExitCode::SUCCESS;
     let text = match args.command {
         Command::Policy(args) => {
             let found = report::run(&bench::parts(), args.deployment, args.seed);
@@ -52,11 +74,21 @@
                 false => serde_json::to_string_pretty(&found),
             }
         }
+        Command::Faults(args) => {
+            let found = matrix::run(args.seed, !args.single, args.threads);
+            if found.count(Verdict::Broken) > 0 {
+                code = ExitCode::FAILURE;
+            }
+            match args.json {
+                true => serde_json::to_string(&found),
+                false => Ok(summary(&found)),
+            }
+        }
     };
     match text {
         Ok(text) => {
             println!("{text}");
-            ExitCode::SUCCESS
+            code
         }
         Err(error) => {
             eprintln!("{error}");
@@ -64,3 +96,25 @@
         }
     }
 }
+
+/// Lists what is broken, and counts the rest.
+fn summary(report: &matrix::Report) -> String {
+    let mut text = String::new();
+    for cell in &report.cells {
+        if cell.verdict == Verdict::Broken {
+            text.push_str(&format!(
+                "broken {:?} at {:?} under {}: {}\n",
+                cell.promise, cell.step, cell.fault, cell.detail
+            ));
+        }
+    }
+    text.push_str(&format!(
+        "seed {}: {} held, {} broken, {} not run; longest times {:?}",
+        report.seed,
+        report.count(Verdict::Held),
+        report.count(Verdict::Broken),
+        report.count(Verdict::NotRun),
+        report.bounds
+    ));
+    text
+}
