feat(standins): add stand-ins for the platform with faults that can be set while they run

The tests and the demonstration need the platform's services: the log, the list of VMs, runners, workers and a relay that can be cut. Each is a handle that serves docs/PLATFORM.md on an ephemeral port through one listener, whose connections can be cut or go silent for good while new ones work.

Throttling of tasks is left out, as no call of src/platform.rs asks for it.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,18 @@
-//! Stand-ins for the platform.
+//! Stand-ins for the platform that trefoilgauge's tests and demonstration use.
+//!
+//! Each has a handle that starts it on an ephemeral port, changes its faults while it runs, and
+//! tells what it counted. `docs/PLATFORM.md` describes the calls that they serve.
+
+pub mod client;
+pub mod dose;
+pub mod line;
+pub mod log;
+mod pause;
+pub mod platform;
+pub mod relay;
+pub mod runner;
+pub mod serve;
+pub mod shared;
+pub mod tally;
+pub mod vms;
+pub mod worker;
--- /dev/null
+++ b/standins/src/platform/mod.rs
@@ -0,0 +1,276 @@
+//! The whole platform of a deployment.
+
+pub mod records;
+pub mod sizes;
+
+pub use crate::serve::Result;
+pub use sizes::Deployment;
+
+use crate::log::LogHandle;
+use crate::log::LogOptions;
+use crate::runner::RunnerHandle;
+use crate::runner::RunnerOptions;
+use crate::tally::Tally;
+use crate::vms::VmsHandle;
+use crate::vms::VmsOptions;
+use crate::worker::WorkerHandle;
+use crate::worker::WorkerOptions;
+use crate::worker::history::History;
+use crate::worker::truth::Truth;
+use serde::Serialize;
+use std::net::SocketAddr;
+use trefoilgauge::model::Rack;
+use trefoilgauge::model::Runner;
+use trefoilgauge::model::Worker;
+use trefoilgauge::platform::Member;
+use trefoilgauge::platform::Role;
+use trefoilgauge::prelude::Name;
+
+/// Options of a platform.
+#[derive(Debug, Clone)]
+pub struct PlatformOptions {
+    /// What it has.
+    pub deployment: Deployment,
+    /// The seed of service times and faults.
+    pub seed: u64,
+    /// The age that a change of the list of VMs must have before it shows, in milliseconds.
+    pub vms_lag_ms: u64,
+    /// The log.
+    pub log: LogOptions,
+    /// How long tasks truly run.
+    pub truth: Truth,
+}
+
+impl PlatformOptions {
+    /// Makes the ordinary options of a deployment.
+    pub fn new(deployment: Deployment) -> Self {
+        Self {
+            deployment,
+            seed: 1,
+            vms_lag_ms: 1_000,
+            log: LogOptions::default(),
+            truth: Truth::default(),
+        }
+    }
+}
+
+/// Where the platform's services are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Addresses {
+    /// The deployment's name.
+    pub deployment: Name,
+    /// The log.
+    pub log: SocketAddr,
+    /// The list of VMs.
+    pub vms: SocketAddr,
+    /// The runners.
+    pub runners: Vec<SocketAddr>,
+    /// The workers.
+    pub workers: Vec<SocketAddr>,
+}
+
+/// A running platform.
+#[derive(Debug)]
+pub struct PlatformHandle {
+    /// What it has.
+    pub deployment: Deployment,
+    /// The log.
+    pub log: LogHandle,
+    /// The list of VMs.
+    pub vms: VmsHandle,
+    /// The runners.
+    pub runners: Vec<RunnerHandle>,
+    /// The workers, rack by rack.
+    pub workers: Vec<WorkerHandle>,
+    /// What the runners executed.
+    pub tally: Tally,
+    /// What the workers executed.
+    pub history: History,
+    /// How long tasks truly run.
+    pub truth: Truth,
+}
+
+impl PlatformHandle {
+    /// Starts the platform; nothing is published yet.
+    ///
+    /// # Errors
+    ///
+    /// Passes on the error of a bind.
+    pub async fn spawn(options: PlatformOptions) -> Result<Self> {
+        let PlatformOptions {
+            deployment,
+            seed,
+            vms_lag_ms,
+            log,
+            truth,
+        } = options;
+        let tally = Tally::default();
+        let history = History::default();
+        let runners = spawn_runners(&deployment, seed, &tally).await?;
+        let workers = spawn_workers(&deployment, &truth, &history).await?;
+        let mut members = runner_members(&deployment, &runners);
+        members.extend(worker_members(&deployment, &workers));
+        let vms = VmsOptions {
+            lag_ms: vms_lag_ms,
+            members,
+        };
+        Ok(Self {
+            log: LogHandle::spawn(log).await?,
+            vms: VmsHandle::spawn(vms).await?,
+            deployment,
+            runners,
+            workers,
+            tally,
+            history,
+            truth,
+        })
+    }
+
+    /// Returns the configuration records, in the order in which they must be published.
+    pub fn records(&self) -> Vec<String> {
+        let runners: Vec<Runner> = runner_members(&self.deployment, &self.runners)
+            .into_iter()
+            .map(|member| Runner {
+                name: member.name,
+                centre: member.centre,
+                addr: member.addr,
+            })
+            .collect();
+        records::records(&self.deployment, &runners, &self.racks())
+    }
+
+    /// Appends the configuration records to the `config` stream.
+    pub fn publish(&self) {
+        for record in self.records() {
+            self.log.append("config", record);
+        }
+    }
+
+    /// Returns the racks with their workers.
+    pub fn racks(&self) -> Vec<Rack> {
+        let deployment = &self.deployment;
+        let chunks = self.workers.chunks(deployment.per_rack as usize);
+        let numbered = (0..).zip(chunks);
+        numbered
+            .map(|(i, workers)| Rack {
+                name: format!("rack-{}", i + 1).into(),
+                centre: deployment.centre(i),
+                workers: workers.iter().map(|one| self.worker(one)).collect(),
+            })
+            .collect()
+    }
+
+    /// Returns the addresses.
+    pub fn addresses(&self) -> Addresses {
+        Addresses {
+            deployment: self.deployment.name.clone(),
+            log: self.log.addr(),
+            vms: self.vms.addr(),
+            runners: self.runners.iter().map(RunnerHandle::addr).collect(),
+            workers: self.workers.iter().map(WorkerHandle::addr).collect(),
+        }
+    }
+
+    /// Returns the names of the kinds of work that are not idempotent.
+    pub fn single_kinds(&self) -> Vec<&str> {
+        let sizes = self.deployment.kinds.iter();
+        let single = sizes.filter(|size| !size.kind.idempotent);
+        single.map(|size| &*size.kind.name).collect()
+    }
+
+    /// Stops everything.
+    pub async fn stop(self) {
+        for runner in self.runners {
+            runner.stop().await;
+        }
+        for worker in self.workers {
+            worker.stop().await;
+        }
+        self.vms.stop().await;
+        self.log.stop().await;
+    }
+
+    fn worker(&self, handle: &WorkerHandle) -> Worker {
+        Worker {
+            name: handle.name().clone(),
+            addr: handle.addr().to_string().into(),
+            accelerators: self.deployment.accelerators,
+            cores: self.deployment.cores,
+            memory_gb: self.deployment.memory_gb,
+        }
+    }
+}
+
+async fn spawn_runners(
+    deployment: &Deployment,
+    seed: u64,
+    tally: &Tally,
+) -> Result<Vec<RunnerHandle>> {
+    let sizes = deployment.kinds.iter();
+    let service = sizes
+        .map(|size| (size.kind.name.clone(), size.service))
+        .collect();
+    let ordinary = RunnerOptions {
+        service,
+        tally: tally.clone(),
+        ..RunnerOptions::default()
+    };
+    let mut runners = Vec::new();
+    for i in 1..=deployment.runners {
+        let options = RunnerOptions {
+            name: format!("runner-{i}").into(),
+            seed: seed.wrapping_add(u64::from(i)),
+            ..ordinary.clone()
+        };
+        runners.push(RunnerHandle::spawn(options).await?);
+    }
+    Ok(runners)
+}
+
+async fn spawn_workers(
+    deployment: &Deployment,
+    truth: &Truth,
+    history: &History,
+) -> Result<Vec<WorkerHandle>> {
+    let mut workers = Vec::new();
+    for i in 1..=deployment.workers {
+        let options = WorkerOptions {
+            name: format!("worker-{i}").into(),
+            accelerators: deployment.accelerators,
+            cores: deployment.cores,
+            memory_gb: deployment.memory_gb,
+            truth: truth.clone(),
+            history: history.clone(),
+            ..WorkerOptions::default()
+        };
+        workers.push(WorkerHandle::spawn(options).await?);
+    }
+    Ok(workers)
+}
+
+fn runner_members(deployment: &Deployment, runners: &[RunnerHandle]) -> Vec<Member> {
+    let numbered = (0..).zip(runners);
+    numbered
+        .map(|(i, one)| member(one.name(), Role::Runner, deployment.centre(i), one.addr()))
+        .collect()
+}
+
+fn worker_members(deployment: &Deployment, workers: &[WorkerHandle]) -> Vec<Member> {
+    let numbered = (0..).zip(workers);
+    numbered
+        .map(|(i, one)| {
+            let centre = deployment.centre(i / deployment.per_rack);
+            member(one.name(), Role::Worker, centre, one.addr())
+        })
+        .collect()
+}
+
+fn member(name: &Name, role: Role, centre: Name, addr: SocketAddr) -> Member {
+    Member {
+        name: name.clone(),
+        role,
+        centre,
+        addr: addr.to_string().into(),
+        leaving: false,
+    }
+}
--- /dev/null
+++ b/standins/src/platform/sizes.rs
@@ -0,0 +1,214 @@
+//! The sizes, kinds of work and workspaces of each deployment.
+
+use crate::runner::Spread;
+use trefoilgauge::model::Adjacency;
+use trefoilgauge::model::Guarantee;
+use trefoilgauge::model::Kind;
+use trefoilgauge::model::Priority;
+use trefoilgauge::model::Shape;
+use trefoilgauge::model::Workspace;
+use trefoilgauge::prelude::Name;
+
+/// The pool of runners of every deployment.
+pub const POOL: &str = "main";
+
+/// A kind of work with its true service time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KindSize {
+    /// The kind.
+    pub kind: Kind,
+    /// Its service time at a runner.
+    pub service: Spread,
+}
+
+/// What a deployment has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Deployment {
+    /// Its name.
+    pub name: Name,
+    /// Its data centres.
+    pub centres: Vec<Name>,
+    /// How many runners it has.
+    pub runners: u32,
+    /// How many workers it has.
+    pub workers: u32,
+    /// How many workers a rack holds.
+    pub per_rack: u32,
+    /// The accelerators of a worker.
+    pub accelerators: u32,
+    /// The cores of a worker.
+    pub cores: u32,
+    /// The memory of a worker in gigabytes.
+    pub memory_gb: u32,
+    /// The kinds of work.
+    pub kinds: Vec<KindSize>,
+    /// The workspaces.
+    pub workspaces: Vec<Workspace>,
+    /// The weight of completion time against fragmentation, in percent.
+    pub completion: u32,
+}
+
+impl Deployment {
+    /// The Instituto's scoring service.
+    pub fn instituto() -> Self {
+        Self {
+            name: "instituto".into(),
+            centres: centres("coast"),
+            runners: 50,
+            workers: 50,
+            per_rack: 8,
+            accelerators: 8,
+            cores: 130,
+            memory_gb: 250,
+            kinds: instituto_kinds(),
+            workspaces: vec![
+                workspace("scoring", 256, &INSTITUTO, &[rack(32, 1), worker(8, 4)]),
+                workspace("judging", 192, &INSTITUTO, &[rack(16, 2), worker(8, 2)]),
+                workspace("festival", 64, &INSTITUTO, &[worker(8, 2)]),
+                workspace("archive", 64, &INSTITUTO, &[worker(4, 2)]),
+            ],
+            completion: 75,
+        }
+    }
+
+    /// Atlas Grille's building service.
+    pub fn atlas() -> Self {
+        Self {
+            name: "atlas".into(),
+            centres: centres("casablanca"),
+            cores: 60,
+            memory_gb: 130,
+            kinds: atlas_kinds(),
+            workspaces: vec![
+                workspace("accountants", 256, &ATLAS, &[rack(32, 2), worker(8, 2)]),
+                workspace("cooperatives", 192, &ATLAS, &[rack(16, 2), worker(8, 2)]),
+                workspace("schools", 64, &ATLAS, &[worker(8, 2)]),
+                workspace("templates", 64, &ATLAS, &[worker(4, 2)]),
+            ],
+            completion: 25,
+            ..Self::instituto()
+        }
+    }
+
+    /// A small deployment for tests, with the kinds of both.
+    pub fn small() -> Self {
+        let mut kinds = instituto_kinds();
+        kinds.extend(atlas_kinds());
+        for kind in &mut kinds {
+            kind.service.least_ms /= 10;
+            kind.service.most_ms /= 10;
+        }
+        let all = [&INSTITUTO[..], &ATLAS[..]].concat();
+        Self {
+            name: "small".into(),
+            runners: 6,
+            workers: 8,
+            per_rack: 4,
+            kinds,
+            workspaces: vec![
+                workspace("scoring", 64, &all, &[rack(16, 1)]),
+                workspace("judging", 64, &all, &[worker(8, 1)]),
+                workspace("festival", 32, &all, &[worker(8, 1)]),
+                workspace("archive", 32, &all, &[worker(4, 1)]),
+            ],
+            ..Self::instituto()
+        }
+    }
+
+    /// Returns the deployment of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "instituto" => Some(Self::instituto()),
+            "atlas" => Some(Self::atlas()),
+            "small" => Some(Self::small()),
+            _ => None,
+        }
+    }
+
+    /// Returns the data centre of the runner or rack with this number.
+    pub fn centre(&self, number: u32) -> Name {
+        self.centres[number as usize % self.centres.len()].clone()
+    }
+}
+
+const INSTITUTO: [&str; 4] = [
+    "relief_scan",
+    "quick_check",
+    "erosion_comparison",
+    "entry_submission",
+];
+const ATLAS: [&str; 3] = ["annual_ledger", "quick_invoice", "payroll_batch"];
+
+fn instituto_kinds() -> Vec<KindSize> {
+    vec![
+        kind("relief_scan", Priority::Normal, 120_000, (2_000, 6_000)).idempotent(true),
+        kind("quick_check", Priority::Urgent, 5_000, (80, 240)).idempotent(false),
+        kind("erosion_comparison", Priority::Patient, 300_000, (300, 900)).idempotent(false),
+        kind("entry_submission", Priority::Normal, 15_000, (100, 300)),
+    ]
+}
+
+fn atlas_kinds() -> Vec<KindSize> {
+    vec![
+        kind("annual_ledger", Priority::Normal, 120_000, (2_000, 5_000)).idempotent(true),
+        kind("quick_invoice", Priority::Urgent, 15_000, (100, 300)),
+        kind("payroll_batch", Priority::Patient, 300_000, (800, 2_500)),
+    ]
+}
+
+fn kind(name: &str, priority: Priority, deadline_ms: u64, service: (u64, u64)) -> KindSize {
+    let (least_ms, most_ms) = service;
+    KindSize {
+        kind: Kind {
+            name: name.into(),
+            pool: POOL.into(),
+            priority,
+            idempotent: false,
+            checkpoint: false,
+            deadline_ms,
+            attempts: 3,
+            service_ms: least_ms.midpoint(most_ms),
+        },
+        service: Spread { least_ms, most_ms },
+    }
+}
+
+impl KindSize {
+    fn idempotent(mut self, checkpoint: bool) -> Self {
+        self.kind.idempotent = true;
+        self.kind.checkpoint = checkpoint;
+        self
+    }
+}
+
+fn centres(prefix: &str) -> Vec<Name> {
+    let numbers = 1..=3;
+    numbers.map(|i| format!("{prefix}-{i}").into()).collect()
+}
+
+fn workspace(name: &str, quota: u32, kinds: &[&str], guarantees: &[Guarantee]) -> Workspace {
+    Workspace {
+        name: name.into(),
+        guarantees: guarantees.to_vec(),
+        quota,
+        kinds: kinds.iter().map(|kind| Name::from(*kind)).collect(),
+    }
+}
+
+fn rack(accelerators: u32, count: u32) -> Guarantee {
+    guarantee(accelerators, Adjacency::Rack, count)
+}
+
+fn worker(accelerators: u32, count: u32) -> Guarantee {
+    guarantee(accelerators, Adjacency::Worker, count)
+}
+
+fn guarantee(accelerators: u32, adjacency: Adjacency, count: u32) -> Guarantee {
+    Guarantee {
+        shape: Shape {
+            accelerators,
+            adjacency,
+        },
+        count,
+    }
+}
--- /dev/null
+++ b/standins/src/worker/history.rs
@@ -0,0 +1,206 @@
+//! What workers executed, and the checks on it.
+
+use crate::shared::Shared;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use tokio::time::Instant;
+use trefoilgauge::prelude::Name;
+use trefoilgauge::prelude::Offset;
+
+/// How an execution ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// It ran to its end.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease lapsed.
+    Lapsed,
+    /// Its worker restarted.
+    Restarted,
+}
+
+/// One execution of one member of a gang.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Span {
+    /// The worker.
+    pub worker: Name,
+    /// The gang.
+    pub job: Name,
+    /// The member's number.
+    pub index: u32,
+    /// The placement's token.
+    pub token: Offset,
+    /// The accelerators, one bit each.
+    pub mask: u64,
+    /// When it started, in milliseconds since the history began.
+    pub started_ms: u64,
+    /// When it stopped, or nothing while it runs.
+    pub stopped_ms: Option<u64>,
+    /// How it ended.
+    pub end: Option<End>,
+}
+
+impl Span {
+    fn overlaps(&self, other: &Self) -> bool {
+        let before = |one: &Self, two: &Self| {
+            one.stopped_ms
+                .is_some_and(|stopped| stopped <= two.started_ms)
+        };
+        !before(self, other) && !before(other, self)
+    }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let stopped = self.stopped_ms.map(|ms| ms.to_string());
+        write!(
+            f,
+            "{}#{} token {} on {} mask {:#x} from {} to {}",
+            self.job,
+            self.index,
+            self.token,
+            self.worker,
+            self.mask,
+            self.started_ms,
+            stopped.as_deref().unwrap_or("now"),
+        )
+    }
+}
+
+/// The executions of all workers that share it.
+#[derive(Debug, Clone)]
+pub struct History {
+    began: Instant,
+    spans: Shared<Vec<Span>>,
+}
+
+impl Default for History {
+    fn default() -> Self {
+        Self {
+            began: Instant::now(),
+            spans: Shared::default(),
+        }
+    }
+}
+
+impl History {
+    /// Returns an instant as milliseconds since the history began.
+    pub fn stamp(&self, at: Instant) -> u64 {
+        at.saturating_duration_since(self.began).as_millis() as u64
+    }
+
+    /// Adds a span, and returns its number.
+    pub fn add(&self, span: Span) -> usize {
+        self.spans.with(|spans| {
+            spans.push(span);
+            spans.len() - 1
+        })
+    }
+
+    /// Ends a span.
+    pub fn end(&self, number: usize, at: Instant, end: End) {
+        let stamp_ms = self.stamp(at);
+        self.spans.with(|spans| {
+            let Some(span) = spans.get_mut(number) else {
+                return;
+            };
+            span.stopped_ms = Some(stamp_ms.max(span.started_ms));
+            span.end = Some(end);
+        });
+    }
+
+    /// Returns all spans, in the order in which they started.
+    pub fn all(&self) -> Vec<Span> {
+        self.spans.with(|spans| spans.clone())
+    }
+
+    /// Returns the spans of a gang.
+    pub fn of_job(&self, job: &str) -> Vec<Span> {
+        let all = self.all().into_iter();
+        all.filter(|span| *span.job == *job).collect()
+    }
+
+    /// Returns two spans each that executed one gang under two tokens at once.
+    pub fn overlaps(&self) -> Vec<String> {
+        self.pairs(|one, two| one.job == two.job && one.token != two.token)
+    }
+
+    /// Returns two spans each that held one accelerator at once.
+    pub fn double_held(&self) -> Vec<String> {
+        self.pairs(|one, two| one.worker == two.worker && one.mask & two.mask != 0)
+    }
+
+    /// Returns the placements of a gang of `members` that did not execute whole for longer than
+    /// `grace_ms` in all, or that ended with a member done and another never started.
+    ///
+    /// A gang starts and stops on each worker by a call of its own, so `grace_ms` must cover the
+    /// time between the first and the last of these calls.
+    pub fn partial(&self, job: &str, members: u32, grace_ms: u64) -> Vec<String> {
+        let now_ms = self.stamp(Instant::now());
+        let mut tokens: BTreeMap<Offset, Vec<Span>> = BTreeMap::new();
+        for span in self.of_job(job) {
+            tokens.entry(span.token).or_default().push(span);
+        }
+        let mut found = Vec::new();
+        for (token, spans) in tokens {
+            let partial_ms = partial_ms(&spans, members, now_ms);
+            let started: BTreeSet<u32> = spans.iter().map(|span| span.index).collect();
+            let done = spans.iter().any(|span| span.end == Some(End::Done));
+            let torn = done && started.len() < members as usize;
+            if torn || partial_ms > grace_ms {
+                found.push(format!(
+                    "{job} token {token}: {} of {members} started, partial for {partial_ms} ms",
+                    started.len(),
+                ));
+            }
+        }
+        found
+    }
+
+    fn pairs(&self, test: impl Fn(&Span, &Span) -> bool) -> Vec<String> {
+        let spans = self.all();
+        let mut found = Vec::new();
+        for (i, one) in spans.iter().enumerate() {
+            for two in &spans[i + 1..] {
+                if test(one, two) && one.overlaps(two) {
+                    found.push(format!("{one}; {two}"));
+                }
+            }
+        }
+        found
+    }
+}
+
+/// Returns for how long some but not all members executed; a member that is done counts on.
+fn partial_ms(spans: &[Span], members: u32, now_ms: u64) -> u64 {
+    let last_ms = spans
+        .iter()
+        .map(|span| span.stopped_ms.unwrap_or(now_ms))
+        .max()
+        .unwrap_or(now_ms);
+    let until = |span: &Span| match span.end {
+        Some(End::Done) => last_ms,
+        _ => span.stopped_ms.unwrap_or(now_ms),
+    };
+    let mut edges: BTreeSet<u64> = BTreeSet::new();
+    for span in spans {
+        edges.insert(span.started_ms);
+        edges.insert(until(span));
+    }
+    let edges: Vec<u64> = edges.into_iter().collect();
+    let mut total_ms = 0;
+    for pair in edges.windows(2) {
+        let live = spans
+            .iter()
+            .filter(|span| span.started_ms <= pair[0] && until(span) >= pair[1]);
+        let live = live.count();
+        if live > 0 && live < members as usize {
+            total_ms += pair[1] - pair[0];
+        }
+    }
+    total_ms
+}
