feat(demo): run a deployment of 7 VMs against the stand-ins under a short load

Cause: nothing showed the whole path. Change: trefoil-demo spawns the platform, 7 VMs through the same handles as the binaries, sends requests of every kind and six gangs, replaces one VM halfway, and prints a table; it exits with 1 if a promise broke.

--- /dev/null
+++ b/standins/src/demo/report.rs
@@ -0,0 +1,175 @@
+//! The table of outcomes, and whether a promise broke.
+
+use super::load::GangOutcome;
+use super::load::Outcome;
+use super::load::Outcomes;
+use super::load::Seen;
+use crate::platform::PlatformHandle;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt;
+use trefoilgauge::prelude::Name;
+
+/// The time for which a gang may run in part while it starts or stops, in milliseconds.
+const PARTIAL_GRACE_MS: u64 = 2_000;
+/// The longest answer time that is told apart, in milliseconds.
+const TOOK_MAX_MS: u64 = 600_000;
+
+/// The outcomes of one kind of work.
+#[derive(Debug, Clone, Serialize)]
+pub struct Row {
+    /// The kind.
+    pub kind: Name,
+    /// The calls.
+    pub calls: u64,
+    /// Those with a whole answer.
+    pub answered: u64,
+    /// Those that were refused and did not run.
+    pub refused: u64,
+    /// Those that may have run.
+    pub unknown: u64,
+    /// Those without a final answer.
+    pub lost: u64,
+    /// Those with an answer that is not their own.
+    pub wrong: u64,
+    /// The median time of whole answers, in milliseconds.
+    pub p50_ms: u64,
+    /// The 99th percentile, in milliseconds.
+    pub p99_ms: u64,
+}
+
+/// What the demonstration found.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// The deployment.
+    pub deployment: Name,
+    /// The requests, by kind.
+    pub rows: Vec<Row>,
+    /// The gangs.
+    pub gangs: Vec<GangOutcome>,
+    /// Each promise that broke; empty if all held.
+    pub broken: Vec<String>,
+}
+
+impl Report {
+    /// Judges the outcomes against what the platform saw.
+    pub fn new(platform: &PlatformHandle, outcomes: Outcomes) -> Self {
+        let mut kinds: BTreeMap<Name, Vec<Outcome>> = BTreeMap::new();
+        for call in outcomes.calls {
+            kinds.entry(call.kind.clone()).or_default().push(call);
+        }
+        let mut broken = Vec::new();
+        check_calls(platform, &kinds, &mut broken);
+        check_gangs(platform, &outcomes.gangs, &mut broken);
+        Self {
+            deployment: platform.deployment.name.clone(),
+            rows: kinds.iter().map(|(kind, calls)| row(kind, calls)).collect(),
+            gangs: outcomes.gangs,
+            broken,
+        }
+    }
+}
+
+fn check_calls(
+    platform: &PlatformHandle,
+    kinds: &BTreeMap<Name, Vec<Outcome>>,
+    broken: &mut Vec<String>,
+) {
+    for key in platform.tally.doubled(&platform.single_kinds()) {
+        broken.push(format!(
+            "the non-idempotent request {key} ran more than once"
+        ));
+    }
+    for call in kinds.values().flatten() {
+        let kind = &call.kind;
+        match call.seen {
+            Seen::Lost => broken.push(format!("a caller of {kind} got no final answer")),
+            Seen::Wrong => broken.push(format!("a caller of {kind} got a wrong answer")),
+            Seen::Refused if platform.tally.of_digest(&call.digest) > 0 => {
+                broken.push(format!("a {kind} that was said not to have run did run"));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn check_gangs(platform: &PlatformHandle, gangs: &[GangOutcome], broken: &mut Vec<String>) {
+    for gang in gangs {
+        if gang.phase.get("ended").is_none() {
+            broken.push(format!("{} did not end: {}", gang.job, gang.phase));
+        }
+        broken.extend(
+            platform
+                .history
+                .partial(&gang.job, gang.members, PARTIAL_GRACE_MS),
+        );
+    }
+    broken.extend(platform.history.overlaps());
+    broken.extend(platform.history.double_held());
+}
+
+fn row(kind: &Name, calls: &[Outcome]) -> Row {
+    let count = |seen: Seen| calls.iter().filter(|call| call.seen == seen).count() as u64;
+    let quantile = |at: f64| {
+        let Ok(mut histogram) = Histogram::<u64>::new_with_max(TOOK_MAX_MS, 2) else {
+            return 0;
+        };
+        for call in calls.iter().filter(|call| call.seen == Seen::Answered) {
+            histogram.saturating_record(call.took_ms);
+        }
+        histogram.value_at_quantile(at)
+    };
+    Row {
+        kind: kind.clone(),
+        calls: calls.len() as u64,
+        answered: count(Seen::Answered),
+        refused: count(Seen::Refused),
+        unknown: count(Seen::Unknown),
+        lost: count(Seen::Lost),
+        wrong: count(Seen::Wrong),
+        p50_ms: quantile(0.5),
+        p99_ms: quantile(0.99),
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<20} {:>6} {:>8} {:>7} {:>7} {:>4} {:>5} {:>7} {:>7}",
+            "kind", "calls", "answered", "refused", "unknown", "lost", "wrong", "p50 ms", "p99 ms"
+        )?;
+        for row in &self.rows {
+            writeln!(
+                f,
+                "{:<20} {:>6} {:>8} {:>7} {:>7} {:>4} {:>5} {:>7} {:>7}",
+                row.kind,
+                row.calls,
+                row.answered,
+                row.refused,
+                row.unknown,
+                row.lost,
+                row.wrong,
+                row.p50_ms,
+                row.p99_ms
+            )?;
+        }
+        writeln!(f)?;
+        for gang in &self.gangs {
+            writeln!(
+                f,
+                "{}: {} members, {} after {} ms",
+                gang.job, gang.members, gang.phase, gang.took_ms
+            )?;
+        }
+        writeln!(f)?;
+        if self.broken.is_empty() {
+            return writeln!(f, "every promise held");
+        }
+        for promise in &self.broken {
+            writeln!(f, "BROKEN: {promise}")?;
+        }
+        Ok(())
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! tells what it counted. `docs/PLATFORM.md` describes the calls that they serve.
 
 pub mod client;
+pub mod demo;
 pub mod dose;
 pub mod line;
 pub mod log;
