fix(gang): keep a gang preparing while some of its workers are not ready

Cause: the arm for a report of Ready had its condition folded into a guard, so the first of two Ready reports fell through to the arm for a lost member, and every gang was stopped until its faults were used up.

Ruled out: the stand-in worker's room for the mask, cores and memory, and a stale sync (its answer carries the offset that it follows from).

Change: an arm of its own for Ready and Done reports that are not the last.

--- a/src/reducer/ledger/gangs.rs
+++ b/src/reducer/ledger/gangs.rs
@@ -380,6 +380,8 @@
         {
             end(ledger, origin, job, Ending::Done);
         }
+        (Phase::Preparing, MemberState::Ready)
+        | (Phase::Running, MemberState::Done | MemberState::Ready) => {}
         (Phase::Preparing | Phase::Running, MemberState::Failed) => {
             gang.faults += 1;
             let after = match gang.faults < FAULTS_MAX && (stoppable || !gang.started) {
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -1,15 +1,20 @@
 //! The ledger's verdicts on claims and gangs.
 
+use trefoilgauge::model::Adjacency;
+use trefoilgauge::model::Job;
 use trefoilgauge::prelude::*;
 use trefoilgauge::records::Batch;
 use trefoilgauge::records::BatchId;
 use trefoilgauge::records::CONTROL_SCHEMA;
 use trefoilgauge::records::Entry;
+use trefoilgauge::records::MemberState;
+use trefoilgauge::records::Slot;
 use trefoilgauge::records::Verdict;
 use trefoilgauge::records::Void;
 use trefoilgauge::reducer::ledger::Ledger;
 use trefoilgauge::reducer::ledger::Staged;
 use trefoilgauge::reducer::ledger::StagedRecord;
+use trefoilgauge::reducer::ledger::gangs::Phase;
 
 #[derive(Default)]
 struct Log {
@@ -95,3 +100,48 @@
     let refused: &Findings = &log.ledger.catalog.ruled[4].refused;
     assert_eq!("/replaces", refused.list[0].place);
 }
+
+#[test]
+fn a_gang_runs_once_each_of_its_workers_is_ready() {
+    let mut log = log_with_workspace();
+    log.publish(
+        r#"{"schema":2,"change":"r","object":"rack/r1","replaces":0,"body":{"centre":"c","workers":[
+            {"name":"a","addr":"127.0.0.1:1","accelerators":4,"cores":8,"memory_gb":8},
+            {"name":"b","addr":"127.0.0.1:2","accelerators":4,"cores":8,"memory_gb":8}]}}"#,
+    );
+    let job = Job {
+        id: "g".into(),
+        workspace: "w".into(),
+        kind: "k".into(),
+        members: 2,
+        accelerators: 4,
+        cores: 1,
+        memory_gb: 1,
+        adjacency: Adjacency::Rack,
+        run_ms: 1_000,
+    };
+    let slot = |worker: &str| Slot {
+        worker: worker.into(),
+        mask: 0b1111,
+    };
+    assert_eq!(Ok(()), log.append("vm-1/entry", Entry::Submit { job }));
+    let place = Entry::Place {
+        job: "g".into(),
+        attempt: 0,
+        slots: vec![slot("a"), slot("b")],
+    };
+    assert_eq!(Ok(()), log.append("vm-1/placer", place));
+    let token = log.ledger.gangs.all["g"].token;
+    let expected = [Phase::Preparing, Phase::Running];
+    for (worker, expected) in ["a", "b"].into_iter().zip(expected) {
+        let ready = Entry::Member {
+            job: "g".into(),
+            token,
+            worker: worker.into(),
+            state: MemberState::Ready,
+            kept_ms: 0,
+        };
+        assert_eq!(Ok(()), log.append("vm-1/placer", ready));
+        assert_eq!(expected, log.ledger.gangs.all["g"].phase);
+    }
+}
