feat(settings): check a settings file whole against one table of options

A process had Default structs and no way to load them. serde's own errors were ruled out: they stop at the first fault and know no line once the value is typed. The text is parsed by jsonc-parser into a tree with positions, the value is checked against the table in configs/options.rs, and each JSON pointer is then turned into file:line:column, so that all findings come at once and refuse the start. Bounds between options (leases, silence, isolation, listen addresses) are checked on the typed settings. vm and centre must be given: two VMs under the default name would write the control stream under one writer.

A test holds the table to the structs and another holds docs/SETTINGS.md to the table.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -1,12 +1,16 @@
 //! The settings of a process: one plain struct per module, whose `Default` shows every option.
 
 mod callers;
+pub mod check;
+pub mod file;
 mod gangs;
 mod keeper;
 mod log;
 mod ops;
+pub mod options;
 mod peers;
 mod requests;
+pub mod source;
 
 pub use callers::CallersConfig;
 pub use gangs::GangsConfig;
--- a/src/fields.rs
+++ b/src/fields.rs
@@ -1,5 +1,6 @@
 //! Reads the fields of a JSON object and collects every finding instead of stopping at the first.
 
+use crate::configs::source::escape;
 use crate::prelude::*;
 use serde_json::Map;
 use serde_json::Value;
@@ -32,7 +33,7 @@
 
     /// Returns the JSON pointer of a field.
     pub fn place(&self, key: &str) -> String {
-        format!("{}/{key}", self.place)
+        format!("{}/{}", self.place, escape(key))
     }
 
     /// Returns the raw value of a field, if it is there and not null.
