--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -148,7 +148,8 @@
     "ops.entry_listen" "" Listen, false, "The operators' address of the entry process.";
     "ops.placer_listen" "" Listen, false, "The operators' address of the placer process.";
     "ops.level" "" Level, false, "The least serious log level.";
-    "peers.listen" "" Listen, false, "The address for peers.";
+    "peers.entry_listen" "" Listen, false, "The address of the entry process for its peers.";
+    "peers.placer_listen" "" Listen, false, "The address of the placer process for its peers.";
     "peers.vms_addr" "" Connect, false, "The address of the platform's list of VMs.";
     "peers.vms_ms" "ms" Number(10, MINUTE_MS), false, "The time between two reads of the list of VMs.";
     "peers.beat_ms" "ms" Number(10, MINUTE_MS), false, "The time between two heartbeats.";
