feat(settings): refuse the start of a process with every finding

The mains read settings through serde, which accepted values out of range and stopped at the first fault without a line.

--- a/src/modules/main.rs
+++ b/src/modules/main.rs
@@ -2,8 +2,8 @@
 
 use super::process;
 use crate::configs::Settings;
+use crate::configs::file;
 use crate::context::Process;
-use crate::prelude::*;
 use argh::FromArgs;
 use log::LevelFilter;
 use simplelog::ConfigBuilder;
@@ -23,7 +23,7 @@
 /// Runs a process: reads its settings, starts it, and drains it on a termination signal.
 pub fn run(process: Process) -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let settings = match read_settings(&arguments.settings) {
+    let settings = match file::load(&arguments.settings) {
         Ok(settings) => settings,
         Err(findings) => {
             eprintln!("{findings}");
@@ -59,13 +59,6 @@
     ExitCode::SUCCESS
 }
 
-fn read_settings(path: &str) -> Result<Settings, Findings> {
-    let text =
-        std::fs::read_to_string(path).map_err(|error| Findings::one(path, error.to_string()))?;
-    jsonc_parser::parse_to_serde_value(&text, &jsonc_parser::ParseOptions::default())
-        .map_err(|error| Findings::one(path, error.to_string()))
-}
-
 /// Logs to standard error from `level` on.
 pub fn start_log(level: &str) {
     let level = level.parse().unwrap_or(LevelFilter::Info);
