feat(ctl): add the operators' commands

validate checks settings and records with file, line, column and key; publish checks every file before the first append, appends once, settles a lost answer by reading its own record back, and waits until each VM has the change in force or says why not; explain replays the control stream (from its start or the newest checkpoint) and merges the audit stream, so it needs no VM; jobs, workspaces, duplicates, changes, state, timings and print-config show the rest. Codes: 0 done, 1 refused or not in force, 2 usage or findings, 3 unreachable.

A repeated append after an uncertain one was ruled out: the second record would be refused as a change of a replaced version, and its publisher told that another change won.

--- /dev/null
+++ b/src/bin/trefoilctl.rs
@@ -0,0 +1,8 @@
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    trefoilgauge::ctl::run(&words)
+}
--- /dev/null
+++ b/src/ctl/records.rs
@@ -0,0 +1,48 @@
+//! Configuration records in files.
+
+use crate::configs::source::Source;
+use crate::prelude::*;
+use crate::reducer::ledger::change;
+use crate::reducer::ledger::change::Change;
+use crate::reducer::ledger::change::Rejected;
+use crate::reducer::ledger::change::SCHEMA_MAX;
+
+/// A record that was read from a file and is right in itself.
+#[derive(Debug)]
+pub(super) struct Record {
+    /// The file.
+    pub(super) file: String,
+    /// The change.
+    pub(super) change: Change,
+    /// The record without comments, as it is appended.
+    pub(super) data: String,
+}
+
+/// Tells whether a parsed file is a configuration record and not settings.
+pub(super) fn is_record(source: &Source<'_>) -> bool {
+    let value = source.value();
+    let keys = ["schema", "change", "object", "replaces"];
+    keys.iter().any(|key| value.get(key).is_some())
+}
+
+/// Decodes the record of a file.
+///
+/// # Errors
+///
+/// Every finding with file, line and column.
+pub(super) fn decode(file: &str, source: &Source<'_>) -> std::result::Result<Record, Findings> {
+    let value = source.value();
+    let data = value.to_string();
+    match change::decode(data.as_bytes()) {
+        Ok(change) => Ok(Record {
+            file: file.to_owned(),
+            change,
+            data,
+        }),
+        Err(Rejected::Wrong(findings)) => Err(source.locate(findings)),
+        Err(Rejected::TooNew(schema)) => {
+            let text = format!("{schema} is newer than this version knows ({SCHEMA_MAX})");
+            Err(source.locate(Findings::one("/schema", text)))
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bench;
 pub mod configs;
 pub mod context;
+pub mod ctl;
 pub mod events;
 pub mod fields;
 pub mod findings;
--- /dev/null
+++ b/tests/ctl_commands.rs
@@ -0,0 +1,289 @@
+//! The operators' commands, run as separate processes against a log and a running VM.
+
+#![expect(clippy::unwrap_used, reason = "A set-up that fails fails the test.")]
+
+use serde_json::Value;
+use std::path::PathBuf;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::process::Command;
+use trefoilgauge::configs::Settings;
+use trefoilgauge::context::Process;
+use trefoilgauge::modules::process;
+use trefoilgauge::modules::process::Running;
+use trefoilgauge::records::Batch;
+use trefoilgauge::records::BatchId;
+use trefoilgauge::records::CONTROL_SCHEMA;
+use trefoilgauge::records::Entry;
+use trefoilgauge_standins::client::Client;
+use trefoilgauge_standins::dose::Dose;
+use trefoilgauge_standins::log::LogHandle;
+use trefoilgauge_standins::log::LogOptions;
+use trefoilgauge_standins::vms::VmsHandle;
+use trefoilgauge_standins::vms::VmsOptions;
+
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// How a command ended.
+#[derive(Debug)]
+struct Ended {
+    code: Option<i32>,
+    out: String,
+    err: String,
+}
+
+impl Ended {
+    fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap()
+    }
+}
+
+/// Runs trefoilctl with these words.
+async fn ctl(words: &[&str]) -> Ended {
+    let output = Command::new(env!("CARGO_BIN_EXE_trefoilctl"))
+        .args(words)
+        .output()
+        .await
+        .unwrap();
+    Ended {
+        code: output.status.code(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// Returns an address on which nobody listens.
+fn free_addr() -> String {
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    socket.local_addr().unwrap().to_string()
+}
+
+/// A log, an entry process, and a folder for records.
+struct Site {
+    log: LogHandle,
+    _vms: VmsHandle,
+    entry: Running,
+    folder: TempDir,
+}
+
+impl Site {
+    async fn open() -> Self {
+        let log = LogHandle::spawn(LogOptions::default()).await.unwrap();
+        let vms = VmsHandle::spawn(VmsOptions::default()).await.unwrap();
+        let mut settings = Settings::default();
+        let any: trefoilgauge::prelude::Name = "127.0.0.1:0".into();
+        settings.log.addr = log.addr().to_string().into();
+        settings.peers.vms_addr = vms.addr().to_string().into();
+        settings.callers.listen = any.clone();
+        settings.ops.entry_listen = any.clone();
+        settings.peers.entry_listen = any;
+        let entry = process::spawn(Process::Entry, settings).await.unwrap();
+        Self {
+            log,
+            _vms: vms,
+            entry,
+            folder: tempfile::tempdir().unwrap(),
+        }
+    }
+
+    fn log(&self) -> String {
+        self.log.addr().to_string()
+    }
+
+    fn vm(&self) -> String {
+        self.entry.ops.to_string()
+    }
+
+    fn file(&self, name: &str, text: &str) -> String {
+        let path: PathBuf = self.folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+
+    /// Publishes a pool with so many slots in place of version `replaces`.
+    async fn publish(&self, id: &str, replaces: u64, slots: u64) -> Ended {
+        let text = format!(
+            r#"{{"schema":2,"change":"{id}","object":"pool/p","replaces":{replaces},
+                "body":{{"slots":{slots}}}}}"#
+        );
+        let file = self.file(&format!("{id}.json"), &text);
+        let log = self.log();
+        let vm = self.vm();
+        ctl(&["publish", &file, "--log", &log, "--vm", &vm, "--json"]).await
+    }
+}
+
+#[tokio::test]
+async fn a_published_change_is_in_force_and_the_loser_of_a_race_is_told() {
+    let site = Site::open().await;
+    let first = site.publish("first", 0, 8).await;
+    assert_eq!(Some(0), first.code, "{first:?}");
+    let report = &first.json()[0];
+    assert_eq!(Value::from(1), report["version"]);
+    assert!(report["places"][0]["seen"]["in_force"].is_u64(), "{report}");
+
+    let won = site.publish("won", 1, 4).await;
+    let lost = site.publish("lost", 1, 2).await;
+    assert_eq!((Some(0), Some(1)), (won.code, lost.code));
+    assert!(lost.err.contains("another change won"), "{}", lost.err);
+
+    let vm = site.vm();
+    let listed = ctl(&["changes", "--vm", &vm, "--json"]).await.json();
+    let refused = listed.as_array().unwrap().iter();
+    let refused: Vec<bool> = refused
+        .map(|one| !one["refused"].as_array().unwrap().is_empty())
+        .collect();
+    assert_eq!(vec![false, false, true], refused);
+}
+
+#[tokio::test]
+async fn an_append_whose_answer_is_lost_is_read_back_and_not_repeated() {
+    let site = Site::open().await;
+    site.log.set(|faults| faults.lose_answer = Dose::next(1));
+    let ended = site.publish("first", 0, 8).await;
+    assert_eq!(Some(0), ended.code, "{ended:?}");
+    assert_eq!(1, site.log.records("config").len());
+}
+
+#[tokio::test]
+async fn a_change_that_cannot_be_confirmed_is_not_said_to_be_in_force() {
+    let site = Site::open().await;
+    let file = site.file(
+        "a.json",
+        r#"{"schema":2,"change":"a","object":"pool/p","replaces":0,"body":{}}"#,
+    );
+    let log = site.log();
+    let gone = free_addr();
+    let words = [
+        "publish",
+        &file,
+        "--log",
+        &log,
+        "--vm",
+        &gone,
+        "--wait-ms",
+        "200",
+    ];
+    let ended = ctl(&words).await;
+    assert_eq!(Some(3), ended.code, "{ended:?}");
+    site.log.set(|faults| faults.outage = true);
+    let ended = ctl(&words).await;
+    assert_eq!(Some(3), ended.code, "{ended:?}");
+    assert_eq!(1, site.log.records("config").len());
+}
+
+#[tokio::test]
+async fn nothing_is_published_when_one_file_is_wrong() {
+    let site = Site::open().await;
+    let good = site.file(
+        "a.json",
+        r#"{"schema":2,"change":"a","object":"pool/p","replaces":0,"body":{}}"#,
+    );
+    let wrong = site.file(
+        "b.json",
+        "{\"schema\":2,\"change\":\"b\",\"object\":\"kind/k\",\"replaces\":0,\n  \"body\":{\"pool\":7}}",
+    );
+    let log = site.log();
+    let ended = ctl(&["publish", &good, &wrong, "--log", &log]).await;
+    assert_eq!(Some(2), ended.code);
+    assert!(
+        ended.err.contains("b.json:2:11 /body/pool: must be a text"),
+        "{}",
+        ended.err
+    );
+    assert!(
+        ended.err.contains("b.json:2:3 /body/deadline_ms"),
+        "{}",
+        ended.err
+    );
+    assert!(site.log.records("config").is_empty());
+}
+
+#[tokio::test]
+async fn wrong_usage_and_findings_end_with_two_and_help_with_zero() {
+    let cases: [(&[&str], i32); 6] = [
+        (&["--help"], 0),
+        (&["print-config"], 0),
+        (&["no-such-command"], 2),
+        (&["validate"], 2),
+        (&["jobs", "--vm", "nowhere"], 2),
+        (&["validate", "no-such-file"], 2),
+    ];
+    for (words, expected) in cases {
+        let ended = ctl(words).await;
+        assert_eq!(Some(expected), ended.code, "{words:?}: {ended:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_job_is_explained_from_the_log_alone() {
+    let site = Site::open().await;
+    assert_eq!(Some(0), site.publish("pool", 0, 8).await.code);
+    let records = [
+        r#"{"schema":1,"change":"kind","object":"kind/k","replaces":0,
+            "body":{"pool":"p","deadline_ms":1000}}"#,
+        r#"{"schema":2,"change":"workspace","object":"workspace/w","replaces":0,
+            "body":{"quota":8,"kinds":["k"]}}"#,
+    ];
+    let log = site.log();
+    let vm = site.vm();
+    for (i, text) in records.iter().enumerate() {
+        let file = site.file(&format!("{i}.json"), text);
+        let ended = ctl(&["publish", &file, "--log", &log, "--vm", &vm]).await;
+        assert_eq!(Some(0), ended.code, "{ended:?}");
+    }
+    let callers = site.entry.callers.unwrap();
+    let url = format!("http://{callers}/v1/workspaces/w/jobs");
+    let body = r#"{"id":"job-1","kind":"k","members":2,"accelerators":4,"run_ms":1000}"#;
+    let client = Client::new(CALL_LIMIT);
+    let answer = client.post(&url, &[], body).await.unwrap();
+    assert_eq!(201, answer.status, "{answer:?}");
+    site.entry.drain().await;
+
+    let ended = ctl(&["explain", "job-1", "--log", &log, "--json"]).await;
+    assert_eq!(Some(0), ended.code, "{ended:?}");
+    let found = ended.json();
+    let steps = found["list"].as_array().unwrap();
+    let submitted = steps
+        .iter()
+        .find(|step| step["decision"] == "submit in force");
+    assert_eq!(Value::from(3), submitted.unwrap()["cfg"], "{steps:?}");
+    let nothing = ctl(&["explain", "job-2", "--log", &log]).await;
+    assert_eq!(Some(1), nothing.code);
+}
+
+#[tokio::test]
+async fn what_the_log_no_longer_keeps_is_said_and_not_made_up() {
+    let log = LogHandle::spawn(LogOptions::default()).await.unwrap();
+    for seq in 1..=3 {
+        let batch = Batch {
+            schema: CONTROL_SCHEMA,
+            id: BatchId {
+                writer: "vm-1/entry".into(),
+                boot: 1,
+                seq,
+            },
+            at_ms: 1_000,
+            cfg: 0,
+            entries: vec![Entry::Cancel {
+                job: "job-1".into(),
+            }],
+        };
+        log.append("control", serde_json::to_string(&batch).unwrap());
+    }
+    log.set_keep(2);
+    let addr = log.addr().to_string();
+    let ended = ctl(&["explain", "job-1", "--log", &addr]).await;
+    assert_eq!(Some(0), ended.code, "{ended:?}");
+    assert!(ended.out.contains("cancel proposed"), "{}", ended.out);
+    assert!(
+        ended.err.contains("control records below 1 are gone"),
+        "{}",
+        ended.err
+    );
+    assert!(
+        ended.err.contains("verdicts on 2 proposed"),
+        "{}",
+        ended.err
+    );
+}
