fix(peers): pass over heartbeats that a later one overtook

Cause: a reordered heartbeat of the same boot replaced a newer one, so old loads counted as new. Ruled out: a sequence number in the heartbeat, because the next control offset already grows. Change: heartbeats are ordered by boot and control offset; `Peers::read_list` and a counter of changes let the request policy cache what it derives (one line of the reducer's step calls it).

--- a/src/reducer/peers.rs
+++ b/src/reducer/peers.rs
@@ -25,18 +25,22 @@
     pub all: BTreeMap<Name, Peer>,
     /// The list of VMs as last read.
     pub list: Vec<Member>,
+    /// Counts the heartbeats and lists that were taken in.
+    pub changes: u64,
 }
 
 impl Peers {
-    /// Takes in a heartbeat; one of an earlier boot is passed over.
+    /// Takes in a heartbeat; one that was overtaken by a later one is passed over.
     pub fn hear(&mut self, beat: Heartbeat, now: Now) {
+        let age = |beat: &Heartbeat| (beat.boot, beat.control);
         let older = self
             .all
             .get(&beat.from)
-            .is_some_and(|peer| peer.beat.boot > beat.boot);
+            .is_some_and(|peer| age(&peer.beat) > age(&beat));
         if older {
             return;
         }
+        self.changes += 1;
         let peer = Peer {
             heard_ms: now.mono_ms,
             beat,
@@ -44,6 +48,12 @@
         self.all.insert(peer.beat.from.clone(), peer);
     }
 
+    /// Takes in the platform's list of VMs.
+    pub fn read_list(&mut self, list: Vec<Member>) {
+        self.changes += 1;
+        self.list = list;
+    }
+
     /// Iterates over the peers that were heard lately.
     pub fn live<'a>(&'a self, ctx: &'a Context, now: Now) -> impl Iterator<Item = &'a Peer> {
         let silent_ms = ctx.settings.peers.silent_ms;
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -101,7 +101,7 @@
             workspace,
             job,
         } => cancel(ctx, state, now, req, &workspace, job, &mut effects),
-        Event::Members { list } => state.peers.list = list,
+        Event::Members { list } => state.peers.read_list(list),
         Event::Peer(beat) => state.peers.hear(beat, now),
         Event::Synced { worker, answer } => {
             let ledger = &state.ledger;
