feat(requests): split the policy into queues, routing, health, retries and claims

Cause: the first version sorted every queued request on each event, knew no deadlines before dispatch, and a runner that failed fast looked idle and drew the load. Ruled out: a static share of each runner (slots idle when callers are uneven) and hints alone (VMs with old hints fill the same runner). Change: bounded queues per kind ordered by deadline with a share for the less pressing; admission by the measured drain rate; slots dealt by rendezvous hashing with borrowing up to 75 percent and the power of two choices; cooldowns that double, with a single probe; a retry budget; claims checked again at dispatch; numbered events for each step of a request. Conclusion: same public interface.

--- a/src/reducer/requests/mod.rs
+++ b/src/reducer/requests/mod.rs
@@ -1,10 +1,20 @@
 //! The requests of this entry VM, from arrival to the one final answer.
 
+mod admission;
+mod claim;
+mod health;
+mod queue;
+mod reply;
+mod request;
+mod retry;
+mod routing;
+mod sending;
+
+pub use claim::KEY_MARGIN_MS;
+
 use super::effect::Code;
-use super::effect::Dispatch;
 use super::effect::Effect;
 use super::effect::Ran;
-use super::effect::Refusal;
 use super::effect::Reply;
 use super::event::Arrival;
 use super::event::Load;
@@ -12,47 +22,26 @@
 use super::event::TryEnd;
 use super::ledger::Ledger;
 use super::ledger::Ruling;
-use super::ledger::claims::Claim;
 use super::peers::Peers;
 use crate::context::Context;
+use crate::events;
 use crate::model::Kind;
-use crate::model::Priority;
-use crate::platform::Role;
 use crate::prelude::*;
 use crate::records::Entry;
 use crate::records::Outcome;
 use crate::records::Void;
+use queue::Place;
+use queue::Queues;
+use reply::answer;
+use reply::note;
+use reply::refuse;
+use request::Request;
+use request::Stage;
+use retry::Budget;
+use retry::Faults;
+use routing::Routing;
 use std::collections::BTreeMap;
-
-/// How far a request is.
-#[derive(Debug, Clone, PartialEq)]
-enum Stage {
-    /// Its claim was appended and not read back.
-    Claiming,
-    /// It waits for a runner.
-    Queued,
-    /// It was sent.
-    Sent {
-        /// To which runner.
-        runner: Name,
-    },
-}
-
-/// A request in progress.
-#[derive(Debug, Clone, PartialEq)]
-struct Request {
-    arrival: Arrival,
-    kind: Kind,
-    stage: Stage,
-    attempt: u32,
-    claimed: bool,
-    /// Whether a try may have reached an upstream.
-    touched: bool,
-    gone: bool,
-    since_ms: u64,
-    end_ms: u64,
-    tried: Vec<Name>,
-}
+use std::collections::BTreeSet;
 
 /// Everything that a decision about requests looks at.
 #[derive(Debug, Clone, Copy)]
@@ -73,11 +62,22 @@
     pub log_up: bool,
 }
 
+/// When a request must be looked at.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Timer {
+    due_ms: u64,
+    req: Name,
+}
+
 /// All requests in progress.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Requests {
     all: BTreeMap<Name, Request>,
-    flight: BTreeMap<Name, u32>,
+    timers: BTreeSet<Timer>,
+    queues: Queues,
+    routing: Routing,
+    budget: Budget,
+    arrived: u64,
 }
 
 impl Requests {
@@ -93,28 +93,26 @@
 
     /// Returns this process's requests in flight at each runner.
     pub fn loads(&self) -> Vec<Load> {
-        let loads = self.flight.iter().filter(|(_, flight)| **flight > 0);
-        loads
-            .map(|(runner, flight)| Load {
-                runner: runner.clone(),
-                flight: *flight,
-            })
-            .collect()
+        self.routing.loads()
     }
 
     /// Takes in a request.
     pub fn arrive(&mut self, view: &View<'_>, arrival: Arrival, effects: &mut Vec<Effect>) {
-        let req = arrival.req.clone();
-        if let Err(reply) = self.admit(view, arrival, effects) {
-            answer(view, &req, reply, effects);
+        self.refresh(view, effects);
+        if self.all.contains_key(&arrival.req) {
+            return;
+        }
+        match self.admit(view, &arrival, effects) {
+            Ok(kind) => self.accept(view, arrival, kind, effects),
+            Err(reply) => answer(view, &arrival, reply, None, effects),
         }
         self.pump(view, effects);
     }
 
     /// Takes in the verdict on a claim.
     pub fn ruled(&mut self, view: &View<'_>, ruling: &Ruling, effects: &mut Vec<Effect>) {
-        let own =
-            ruling.origin.id.writer == view.ctx.writer && ruling.origin.id.boot == view.ctx.boot;
+        let id = &ruling.origin.id;
+        let own = id.writer == view.ctx.writer && id.boot == view.ctx.boot;
         let Entry::Claim {
             req,
             workspace,
@@ -127,31 +125,28 @@
         if !own {
             return;
         }
-        let waits = self
-            .all
-            .get(req)
-            .is_some_and(|found| found.stage == Stage::Claiming);
-        match (&ruling.verdict, waits) {
+        let found = self.all.get(req);
+        let claiming = found.filter(|found| found.stage == Stage::Claiming);
+        let late = claiming.is_some_and(|found| found.is_late(view));
+        match (&ruling.verdict, claiming.is_some()) {
             (Ok(()), true) => {
-                if let Some(found) = self.all.get_mut(req) {
-                    found.stage = Stage::Queued;
-                    found.claimed = true;
+                self.claimed(view, req, ruling.origin.offset, effects);
+                if late {
+                    self.give_up(view, req, effects);
                 }
             }
-            (Ok(()), false) => {
-                effects.push(settle(req, workspace, key, Outcome::NotRun));
-            }
-            (Err(void), true) => {
-                self.all.remove(req);
-                let claim = view.ledger.claims.get(workspace, key);
-                answer(view, req, claim_reply(view, void, claim), effects);
+            (Ok(()), false) if found.is_none() => {
+                // Nobody waits for it any more, so it will not be run.
+                effects.push(claim::settle(req, workspace, key, Outcome::NotRun));
             }
-            (Err(_), false) => {}
+            (Err(void), true) => self.claim_lost(view, req, void, effects),
+            (Ok(()) | Err(_), false) => {}
         }
+        self.refresh(view, effects);
         self.pump(view, effects);
     }
 
-    /// Takes in the end of a try.
+    /// Takes in the end of a try; one of a try that was abandoned is passed over.
     pub fn try_ended(
         &mut self,
         view: &View<'_>,
@@ -160,137 +155,152 @@
         end: TryEnd,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(found) = self.all.get_mut(req) else {
-            return;
-        };
-        let Stage::Sent { runner } = found.stage.clone() else {
-            return;
-        };
-        if found.attempt != attempt {
-            return;
-        }
-        if let Some(flight) = self.flight.get_mut(&runner) {
-            *flight = flight.saturating_sub(1);
-        }
-        match end {
-            TryEnd::Answered { kept, .. } => {
-                let reply = Reply::Upstream { attempt, runner };
-                self.finish(view, req, reply, Outcome::Done(kept), effects);
-            }
-            TryEnd::NotSent { .. } | TryEnd::Leaving => self.again(view, req, false, effects),
-            TryEnd::Broken { .. } => self.again(view, req, true, effects),
-        }
+        self.refresh(view, effects);
+        self.end_try(view, req, attempt, end, effects);
         self.pump(view, effects);
     }
 
     /// Notes that the caller no longer waits.
+    ///
+    /// What was not sent is dropped, an idempotent try is abandoned, and any other goes on so that
+    /// its answer is recorded.
     pub fn gone(&mut self, view: &View<'_>, req: &Name, effects: &mut Vec<Effect>) {
         let Some(found) = self.all.get_mut(req) else {
             return;
         };
         found.gone = true;
-        if found.stage == Stage::Queued {
-            let reply = refuse(499, Code::CallerGone, ran(found), None);
-            let outcome = unsent_outcome(found);
-            self.finish(view, req, reply, outcome, effects);
+        if matches!(found.stage, Stage::Sent(_)) && !found.kind.idempotent {
+            return;
         }
+        self.abandon(view, req, health::Mark::Neutral, effects);
+        let Some(found) = self.all.get(req) else {
+            return;
+        };
+        let reply = refuse(499, Code::CallerGone, found.ran(), None);
+        let outcome = found.unanswered();
+        self.finish(view, req, reply, None, outcome, effects);
+        self.pump(view, effects);
     }
 
-    /// Refuses what can no longer be answered in time.
+    /// Gives up what can no longer be answered in time.
     pub fn tick(&mut self, view: &View<'_>, effects: &mut Vec<Effect>) {
-        let late: Vec<Name> = self
-            .all
-            .iter()
-            .filter(|(_, found)| found.is_late(view))
-            .map(|(req, _)| req.clone())
-            .collect();
-        for req in late {
-            self.give_up(view, &req, effects);
+        self.refresh(view, effects);
+        while let Some(timer) = self.timers.first() {
+            if timer.due_ms > view.now.mono_ms {
+                break;
+            }
+            let req = timer.req.clone();
+            self.timers.pop_first();
+            self.expire(view, &req, effects);
         }
         self.pump(view, effects);
     }
 
     fn admit(
-        &mut self,
+        &self,
         view: &View<'_>,
-        arrival: Arrival,
+        arrival: &Arrival,
         effects: &mut Vec<Effect>,
-    ) -> std::result::Result<(), Reply> {
-        if view.draining {
-            return Err(refuse(503, Code::Draining, Ran::No, Some(0)));
-        }
-        if !view.ready {
-            return Err(refuse(503, Code::NotReady, Ran::No, Some(1_000)));
-        }
-        let kind = allowed(view, &arrival)?;
-        let queued = self
-            .all
-            .values()
-            .filter(|found| found.kind.name == kind.name);
-        if queued.count() as u64 >= view.ctx.settings.requests.queue {
-            return Err(refuse(503, Code::QueueFull, Ran::No, Some(1_000)));
-        }
-        let mut stage = Stage::Queued;
+    ) -> std::result::Result<Kind, Reply> {
+        let kind = admission::check(view, arrival)?;
         if !kind.idempotent {
-            stage = Stage::Claiming;
-            claim(view, &arrival, effects)?;
+            claim::check(view, arrival, effects)?;
         }
-        let deadline_ms = arrival.deadline_ms.unwrap_or(kind.deadline_ms);
+        admission::check_load(self, view, arrival, &kind)?;
+        Ok(kind)
+    }
+
+    fn accept(&mut self, view: &View<'_>, arrival: Arrival, kind: Kind, effects: &mut Vec<Effect>) {
+        let left_ms = admission::deadline_ms(&arrival, &kind);
+        let accepted = note(view, &events::REQUEST_ACCEPTED, &arrival);
+        effects.push(Effect::Note(accepted.with("deadline_ms", left_ms)));
+        self.arrived += 1;
+        let req = arrival.req.clone();
         let request = Request {
-            kind,
-            stage,
+            stage: Stage::Claiming,
             attempt: 0,
+            reached: 0,
             claimed: false,
-            touched: false,
             gone: false,
+            faults: Faults::default(),
             since_ms: view.now.mono_ms,
-            end_ms: view.now.mono_ms + deadline_ms,
+            end_ms: view.now.mono_ms + left_ms,
+            due_ms: 0,
+            seq: self.arrived,
             tried: Vec::new(),
             arrival,
+            kind,
         };
-        self.all.insert(request.arrival.req.clone(), request);
-        Ok(())
+        self.queues.claiming(&request.kind);
+        if !request.kind.idempotent {
+            claim::append(&request.arrival, effects);
+        }
+        let idempotent = request.kind.idempotent;
+        self.all.insert(req.clone(), request);
+        match idempotent {
+            true => self.enqueue(view, &req),
+            false => self.schedule(view, &req),
+        }
     }
 
-    fn again(&mut self, view: &View<'_>, req: &Name, touched: bool, effects: &mut Vec<Effect>) {
+    fn claimed(&mut self, view: &View<'_>, req: &Name, offset: Offset, effects: &mut Vec<Effect>) {
         let Some(found) = self.all.get_mut(req) else {
             return;
         };
-        found.touched |= touched;
-        let barred = touched && !found.kind.idempotent;
-        if barred || found.gone || found.attempt >= found.kind.attempts {
-            let (status, code) = match found.touched {
-                true => (502, Code::UpstreamBroken),
-                false => (503, Code::UpstreamUnavailable),
-            };
-            let reply = refuse(status, code, ran(found), Some(1_000));
-            let outcome = unsent_outcome(found);
-            self.finish(view, req, reply, outcome, effects);
+        found.claimed = true;
+        let claimed = note(view, &events::REQUEST_CLAIMED, &found.arrival);
+        effects.push(Effect::Note(claimed.with("offset", offset)));
+        self.enqueue(view, req);
+    }
+
+    fn claim_lost(&mut self, view: &View<'_>, req: &Name, void: &Void, effects: &mut Vec<Effect>) {
+        let Some(found) = self.all.get(req) else {
             return;
+        };
+        let key = found.arrival.key.as_ref();
+        let first = key.and_then(|key| view.ledger.claims.get(&found.arrival.workspace, key));
+        if let Some(first) = first
+            && matches!(void, Void::Claimed(_) | Void::Mismatch)
+        {
+            let duplicate = claim::note_duplicate(view, &found.arrival, first);
+            effects.push(Effect::Note(duplicate));
         }
-        found.stage = Stage::Queued;
+        let reply = claim::reply_to_void(view, void, first);
+        self.finish(view, req, reply, None, Outcome::NotRun, effects);
     }
 
-    fn give_up(&mut self, view: &View<'_>, req: &Name, effects: &mut Vec<Effect>) {
+    /// Lets a request wait for a runner.
+    fn enqueue(&mut self, view: &View<'_>, req: &Name) {
         let Some(found) = self.all.get_mut(req) else {
             return;
         };
-        if let Stage::Sent { runner } = &found.stage {
-            found.touched = true;
-            if let Some(flight) = self.flight.get_mut(runner) {
-                *flight = flight.saturating_sub(1);
-            }
-            effects.push(Effect::Abandon {
-                req: req.clone(),
-                attempt: found.attempt,
-            });
+        if found.stage == Stage::Claiming {
+            self.queues.claimed(&found.kind);
         }
-        let reply = match found.stage {
-            Stage::Claiming => refuse(503, Code::LogDown, Ran::No, Some(1_000)),
-            _ => refuse(504, Code::TooLate, ran(found), Some(1_000)),
+        found.stage = Stage::Queued;
+        let pool = admission::pool_of(view, &found.kind);
+        let servers = pool.map_or(1, |pool| self.routing.servers(pool, view.now.mono_ms));
+        let place = place_of(found);
+        self.queues
+            .push(&found.kind, place, servers, view.now.mono_ms);
+        self.schedule(view, req);
+    }
+
+    /// Sets the time at which a request is looked at next.
+    fn schedule(&mut self, view: &View<'_>, req: &Name) {
+        let Some(found) = self.all.get_mut(req) else {
+            return;
         };
-        let outcome = unsent_outcome(found);
-        self.finish(view, req, reply, outcome, effects);
+        let due_ms = found.next_due(view);
+        self.timers.remove(&Timer {
+            due_ms: found.due_ms,
+            req: req.clone(),
+        });
+        found.due_ms = due_ms;
+        self.timers.insert(Timer {
+            due_ms,
+            req: req.clone(),
+        });
     }
 
     /// Answers the caller, and settles the claim if there is one.
@@ -299,203 +309,57 @@
         view: &View<'_>,
         req: &Name,
         reply: Reply,
+        status: Option<u16>,
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
         let Some(found) = self.all.remove(req) else {
             return;
         };
+        match found.stage {
+            Stage::Claiming => self.queues.claimed(&found.kind),
+            Stage::Queued => self.queues.drop(&found.kind.name, &place_of(&found)),
+            Stage::Sent(_) => {}
+        }
+        self.timers.remove(&Timer {
+            due_ms: found.due_ms,
+            req: req.clone(),
+        });
         if found.claimed
             && let Some(key) = &found.arrival.key
         {
-            effects.push(settle(req, &found.arrival.workspace, key, outcome));
-        }
-        answer(view, req, reply, effects);
-    }
-
-    /// Sends queued requests, the most pressing first, while runners have room.
-    fn pump(&mut self, view: &View<'_>, effects: &mut Vec<Effect>) {
-        let mut queued: Vec<(Priority, u64, Name)> = self
-            .all
-            .iter()
-            .filter(|(_, found)| found.stage == Stage::Queued)
-            .map(|(req, found)| (found.kind.priority, found.since_ms, req.clone()))
-            .collect();
-        queued.sort();
-        for (_, _, req) in queued {
-            self.send(view, &req, effects);
+            let workspace = &found.arrival.workspace;
+            effects.push(claim::settle(req, workspace, key, outcome));
         }
+        answer(view, &found.arrival, reply, status, effects);
     }
 
-    fn send(&mut self, view: &View<'_>, req: &Name, effects: &mut Vec<Effect>) {
-        let Some(found) = self.all.get_mut(req) else {
-            return;
-        };
-        let Some(pool) = view.ledger.catalog.pool(&found.kind.pool) else {
+    /// Refuses a request whose time is over.
+    fn give_up(&mut self, view: &View<'_>, req: &Name, effects: &mut Vec<Effect>) {
+        let Some(found) = self.all.get(req) else {
             return;
         };
-        let open = pool.runners.iter().filter(|runner| {
-            let own = self.flight.get(&runner.name).copied().unwrap_or(0);
-            own + peer_load(view, &runner.name) < pool.slots
-                && !view.peers.leaving(Role::Runner, &runner.name)
-        });
-        let best = open.min_by_key(|runner| {
-            let own = self.flight.get(&runner.name).copied().unwrap_or(0);
-            let again = found.tried.contains(&runner.name);
-            (
-                again,
-                own + peer_load(view, &runner.name),
-                runner.name.clone(),
-            )
-        });
-        let Some(runner) = best else {
+        let queue = self.queues.get(&found.kind.name);
+        let drain_ms = queue.map_or(0, |queue| queue.drain_ms(view.now.mono_ms));
+        let retry_ms = Some(admission::later_ms(drain_ms));
+        let claiming = found.stage == Stage::Claiming;
+        self.abandon(view, req, health::Mark::Neutral, effects);
+        let Some(found) = self.all.get(req) else {
             return;
         };
-        found.attempt += 1;
-        found.tried.push(runner.name.clone());
-        found.stage = Stage::Sent {
-            runner: runner.name.clone(),
-        };
-        *self.flight.entry(runner.name.clone()).or_insert(0) += 1;
-        let vms = view.ctx.settings.requests.fleet + view.ctx.settings.requests.spare;
-        effects.push(Effect::Dispatch(Dispatch {
-            req: req.clone(),
-            attempt: found.attempt,
-            runner: runner.name.clone(),
-            addr: runner.addr.clone(),
-            left_ms: found.end_ms.saturating_sub(view.now.mono_ms),
-            proven: !found.kind.idempotent,
-            connections: (u64::from(pool.connections) / vms).max(1) as u32,
-        }));
-    }
-}
-
-impl Request {
-    fn is_late(&self, view: &View<'_>) -> bool {
-        let claim_ms = view.ctx.settings.requests.claim_ms;
-        let claiming = self.stage == Stage::Claiming;
-        view.now.mono_ms >= self.end_ms
-            || (claiming && view.now.mono_ms >= self.since_ms + claim_ms)
-    }
-}
-
-fn allowed(view: &View<'_>, arrival: &Arrival) -> std::result::Result<Kind, Reply> {
-    let catalog = &view.ledger.catalog;
-    if catalog.workspace(&arrival.workspace).is_none() {
-        return Err(refuse(404, Code::UnknownWorkspace, Ran::No, None));
-    }
-    let kind = catalog.allows(&arrival.workspace, &arrival.kind);
-    let Ok(kind) = kind else {
-        return Err(refuse(404, Code::UnknownKind, Ran::No, None));
-    };
-    Ok(kind.clone())
-}
-
-fn claim(
-    view: &View<'_>,
-    arrival: &Arrival,
-    effects: &mut Vec<Effect>,
-) -> std::result::Result<(), Reply> {
-    let Some(key) = &arrival.key else {
-        return Err(refuse(400, Code::KeyMissing, Ran::No, None));
-    };
-    let entry = Entry::Claim {
-        req: arrival.req.clone(),
-        workspace: arrival.workspace.clone(),
-        kind: arrival.kind.clone(),
-        key: key.clone(),
-        print: arrival.print,
-    };
-    let first = view.ledger.claims.get(&arrival.workspace, key);
-    if let Some(first) = first
-        && first.outcome != Some(Outcome::NotRun)
-    {
-        effects.push(Effect::Append(entry));
-        let void = match first.print == arrival.print {
-            true => Void::Claimed(first.req.clone()),
-            false => Void::Mismatch,
+        let reply = match claiming {
+            true => refuse(503, Code::LogDown, Ran::No, retry_ms),
+            false => refuse(504, Code::TooLate, found.ran(), retry_ms),
         };
-        return Err(claim_reply(view, &void, Some(first)));
-    }
-    if !view.log_up {
-        return Err(refuse(503, Code::LogDown, Ran::No, Some(1_000)));
-    }
-    effects.push(Effect::Append(entry));
-    Ok(())
-}
-
-/// Says what became of the first request with the same key.
-fn claim_reply(view: &View<'_>, void: &Void, first: Option<&Claim>) -> Reply {
-    let Some(first) = first else {
-        return refuse(503, Code::LogDown, Ran::No, Some(1_000));
-    };
-    if *void == Void::Mismatch {
-        return refuse(422, Code::KeyMismatch, Ran::No, None);
-    }
-    match &first.outcome {
-        Some(Outcome::Done(kept)) if kept.body.is_some() => Reply::Kept(kept.clone()),
-        Some(Outcome::Done(_)) => refuse(409, Code::AnswerNotKept, Ran::Yes, None),
-        Some(Outcome::Unknown) => refuse(409, Code::OutcomeUnknown, Ran::Unknown, None),
-        Some(Outcome::NotRun) => refuse(503, Code::NotReady, Ran::No, Some(0)),
-        None if claimant_lives(view, first) => {
-            refuse(409, Code::KeyInProgress, Ran::Unknown, Some(1_000))
-        }
-        None => refuse(409, Code::OutcomeUnknown, Ran::Unknown, None),
-    }
-}
-
-fn claimant_lives(view: &View<'_>, claim: &Claim) -> bool {
-    if claim.writer == view.ctx.writer {
-        return claim.boot == view.ctx.boot;
-    }
-    let mut live = view.peers.live(view.ctx, view.now);
-    live.any(|peer| peer.beat.from == claim.writer && peer.beat.boot == claim.boot)
-}
-
-fn peer_load(view: &View<'_>, runner: &Name) -> u32 {
-    let live = view.peers.live(view.ctx, view.now);
-    let loads = live.flat_map(|peer| &peer.beat.loads);
-    let own = loads.filter(|load| load.runner == *runner);
-    own.map(|load| load.flight).sum()
-}
-
-fn ran(request: &Request) -> Ran {
-    match request.touched {
-        true => Ran::Unknown,
-        false => Ran::No,
+        let outcome = found.unanswered();
+        self.finish(view, req, reply, None, outcome, effects);
     }
 }
 
-fn unsent_outcome(request: &Request) -> Outcome {
-    match request.touched {
-        true => Outcome::Unknown,
-        false => Outcome::NotRun,
+fn place_of(request: &Request) -> Place {
+    Place {
+        end_ms: request.end_ms,
+        seq: request.seq,
+        req: request.arrival.req.clone(),
     }
 }
-
-fn settle(req: &Name, workspace: &Name, key: &Name, outcome: Outcome) -> Effect {
-    Effect::Append(Entry::Settle {
-        req: req.clone(),
-        workspace: workspace.clone(),
-        key: key.clone(),
-        outcome,
-    })
-}
-
-fn refuse(status: u16, code: Code, ran: Ran, retry_ms: Option<u64>) -> Reply {
-    Reply::Refused(Refusal {
-        status,
-        code,
-        ran,
-        retry_ms,
-        detail: code.to_string(),
-    })
-}
-
-fn answer(view: &View<'_>, req: &Name, reply: Reply, effects: &mut Vec<Effect>) {
-    effects.push(Effect::Reply {
-        req: req.clone(),
-        cfg: view.ledger.catalog.next,
-        reply,
-    });
-}
--- /dev/null
+++ b/src/reducer/requests/request.rs
@@ -0,0 +1,97 @@
+//! One request in progress.
+
+use super::View;
+use super::retry::Faults;
+use crate::model::Kind;
+use crate::prelude::*;
+use crate::records::Outcome;
+use crate::reducer::effect::Ran;
+use crate::reducer::event::Arrival;
+
+/// How far a request is.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Stage {
+    /// Its claim was appended and not read back.
+    Claiming,
+    /// It waits for a runner.
+    Queued,
+    /// It was sent.
+    Sent(Sent),
+}
+
+/// A try in flight.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Sent {
+    /// The runner.
+    pub(super) runner: Name,
+    /// When it was dispatched, in milliseconds of monotonic time.
+    pub(super) at_ms: u64,
+}
+
+/// A request in progress.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Request {
+    /// As it came in.
+    pub(super) arrival: Arrival,
+    /// Its kind, as configured when it came in.
+    pub(super) kind: Kind,
+    /// How far it is.
+    pub(super) stage: Stage,
+    /// The number of the last try, 0 before the first.
+    pub(super) attempt: u32,
+    /// The tries that may have reached an upstream.
+    pub(super) reached: u32,
+    /// Whether its claim was read back and won.
+    pub(super) claimed: bool,
+    /// Whether the caller went away.
+    pub(super) gone: bool,
+    /// What its tries met.
+    pub(super) faults: Faults,
+    /// When it came in, in milliseconds of monotonic time.
+    pub(super) since_ms: u64,
+    /// Its deadline, in milliseconds of monotonic time.
+    pub(super) end_ms: u64,
+    /// When it must be looked at next, in milliseconds of monotonic time.
+    pub(super) due_ms: u64,
+    /// Its place among requests with the same deadline.
+    pub(super) seq: u64,
+    /// The runners that were tried.
+    pub(super) tried: Vec<Name>,
+}
+
+impl Request {
+    /// Tells whether its deadline passed, or its claim was not read back in time.
+    pub(super) fn is_late(&self, view: &View<'_>) -> bool {
+        let claim_ms = view.ctx.settings.requests.claim_ms;
+        let claiming = self.stage == Stage::Claiming;
+        view.now.mono_ms >= self.end_ms
+            || (claiming && view.now.mono_ms >= self.since_ms + claim_ms)
+    }
+
+    /// Returns when it must be looked at next, in milliseconds of monotonic time.
+    pub(super) fn next_due(&self, view: &View<'_>) -> u64 {
+        let config = &view.ctx.settings.requests;
+        match &self.stage {
+            Stage::Claiming => self.end_ms.min(self.since_ms + config.claim_ms),
+            Stage::Queued => self.end_ms,
+            Stage::Sent(_) if !self.kind.idempotent => self.end_ms,
+            Stage::Sent(sent) => self.end_ms.min(sent.at_ms + config.try_ms),
+        }
+    }
+
+    /// Says whether it ran, as far as is known while no answer came.
+    pub(super) fn ran(&self) -> Ran {
+        match self.faults.touched {
+            true => Ran::Unknown,
+            false => Ran::No,
+        }
+    }
+
+    /// Returns the outcome that is recorded for its key if no answer came.
+    pub(super) fn unanswered(&self) -> Outcome {
+        match self.faults.touched {
+            true => Outcome::Unknown,
+            false => Outcome::NotRun,
+        }
+    }
+}
