--- a/src/reducer/requests/mod.rs
+++ b/src/reducer/requests/mod.rs
@@ -347,12 +347,13 @@
         let Some(found) = self.all.get(req) else {
             return;
         };
-        let reply = match claiming {
-            true => refuse(503, Code::LogDown, Ran::No, retry_ms),
-            false => refuse(504, Code::TooLate, found.ran(), retry_ms),
-        };
         let outcome = found.unanswered();
-        self.finish(view, req, reply, None, outcome, effects);
+        let (reply, status) = match found.faults.held() {
+            Some(held) => (held.reply(), Some(held.status)),
+            None if claiming => (refuse(503, Code::LogDown, Ran::No, retry_ms), None),
+            None => (refuse(504, Code::TooLate, found.ran(), retry_ms), None),
+        };
+        self.finish(view, req, reply, status, outcome, effects);
     }
 }
 
--- a/src/reducer/requests/retry.rs
+++ b/src/reducer/requests/retry.rs
@@ -6,6 +6,7 @@
 //! traffic by the number of tries.
 
 use super::reply::refuse;
+use crate::prelude::*;
 use crate::reducer::effect::Code;
 use crate::reducer::effect::Ran;
 use crate::reducer::effect::Reply;
@@ -48,31 +49,61 @@
     }
 }
 
+/// A whole answer that is passed on if no try does better.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Held {
+    /// Whether the upstream only asked to be tried again.
+    pub(super) busy: bool,
+    /// The HTTP status.
+    pub(super) status: u16,
+    /// The number of the try.
+    pub(super) attempt: u32,
+    /// The upstream.
+    pub(super) runner: Name,
+}
+
+impl Held {
+    /// Returns the reply that passes the answer on.
+    pub(super) fn reply(&self) -> Reply {
+        Reply::Upstream {
+            attempt: self.attempt,
+            runner: self.runner.clone(),
+        }
+    }
+}
+
 /// What the tries of one request met, whatever their order.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+///
+/// That the final error follows from the set of failures, and not from the one that came last, is
+/// taken from the health-aware failover of the auth proxy zendext ("deterministic final errors").
+#[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct Faults {
     /// Whether a try may have reached an upstream.
     pub(super) touched: bool,
-    /// The earliest time at which an upstream asked to be tried again, in monotonic milliseconds.
-    pub(super) busy_ms: Option<u64>,
+    held: Option<Held>,
 }
 
 impl Faults {
-    /// Notes that an upstream asked to be tried again at `at_ms`.
-    pub(super) fn busy(&mut self, at_ms: u64) {
-        self.busy_ms = Some(self.busy_ms.map_or(at_ms, |known_ms| known_ms.min(at_ms)));
+    /// Holds an error answer; of several the one that says most is kept.
+    pub(super) fn hold(&mut self, answer: Held) {
+        self.touched = true;
+        let better = self.held.as_ref().is_none_or(|known| answer < *known);
+        if better {
+            self.held = Some(answer);
+        }
+    }
+
+    /// Returns the answer that is passed on if no try does better.
+    pub(super) fn held(&self) -> Option<&Held> {
+        self.held.as_ref()
     }
 
-    /// Returns the final error, which depends on the set of failures and not on their order.
-    pub(super) fn error(&self, now_ms: u64) -> Reply {
+    /// Returns the error of a request without any answer.
+    pub(super) fn error(&self) -> Reply {
         let later_ms = Some(RETRY_LATER_MS);
-        match (self.touched, self.busy_ms) {
-            (true, _) => refuse(502, Code::UpstreamBroken, Ran::Unknown, later_ms),
-            (false, Some(at_ms)) => {
-                let retry_ms = Some(at_ms.saturating_sub(now_ms).max(1));
-                refuse(503, Code::UpstreamBusy, Ran::No, retry_ms)
-            }
-            (false, None) => refuse(503, Code::UpstreamUnavailable, Ran::No, later_ms),
+        match self.touched {
+            true => refuse(502, Code::UpstreamBroken, Ran::Unknown, later_ms),
+            false => refuse(503, Code::UpstreamUnavailable, Ran::No, later_ms),
         }
     }
 }
--- a/src/reducer/requests/sending.rs
+++ b/src/reducer/requests/sending.rs
@@ -11,6 +11,7 @@
 use super::request::Request;
 use super::request::Sent;
 use super::request::Stage;
+use super::retry::Held;
 use super::retry::SENDS_MAX;
 use crate::events;
 use crate::events::Note;
@@ -244,6 +245,7 @@
                 self.queues.served(&found.kind, took_ms);
                 Mark::Good { took_ms, usual_ms }
             }
+            TryEnd::NotSent { .. } if found.gone => Mark::Neutral,
             TryEnd::NotSent { .. } | TryEnd::Broken { .. } => Mark::Broken,
             TryEnd::Leaving => Mark::Leaving,
         }
@@ -266,22 +268,28 @@
         let Some(found) = self.all.get_mut(req) else {
             return;
         };
-        let busy = retry_ms.filter(|_| matches!(status, 429 | 503));
-        if let Some(wait_ms) = busy {
-            found.faults.busy(view.now.mono_ms + wait_ms);
-        }
-        let fails = busy.is_some() || status >= 500;
+        let busy = is_busy(status, retry_ms);
+        let fails = busy || status >= 500;
         let spare = !found.gone && found.reached + 1 < found.kind.attempts;
-        if fails && found.kind.idempotent && spare && self.budget.spend() {
-            found.reached += 1;
-            found.faults.touched = true;
-            self.enqueue(view, req);
+        if fails && found.kind.idempotent {
+            found.faults.hold(Held {
+                busy,
+                status,
+                attempt: found.attempt,
+                runner: sent.runner.clone(),
+            });
+            if spare && self.budget.spend() {
+                found.reached += 1;
+                self.enqueue(view, req);
+                return;
+            }
+            self.fail(view, req, effects);
             return;
         }
         let outcome = match busy {
             // A busy upstream gives no answer that is worth keeping.
-            Some(_) => Outcome::Unknown,
-            None => Outcome::Done(kept),
+            true => Outcome::Unknown,
+            false => Outcome::Done(kept),
         };
         let reply = Reply::Upstream {
             attempt: found.attempt,
@@ -308,12 +316,28 @@
             self.enqueue(view, req);
             return;
         }
-        let reply = found.faults.error(view.now.mono_ms);
+        self.fail(view, req, effects);
+    }
+
+    /// Ends a request with the error that follows from all of its tries.
+    fn fail(&mut self, view: &View<'_>, req: &Name, effects: &mut Vec<Effect>) {
+        let Some(found) = self.all.get(req) else {
+            return;
+        };
         let outcome = found.unanswered();
-        self.finish(view, req, reply, None, outcome, effects);
+        let (reply, status) = match found.faults.held() {
+            Some(held) => (held.reply(), Some(held.status)),
+            None => (found.faults.error(), None),
+        };
+        self.finish(view, req, reply, status, outcome, effects);
     }
 }
 
+/// Tells whether an answer says that the upstream is busy, which it does with a `Retry-After`.
+fn is_busy(status: u16, retry_ms: Option<u64>) -> bool {
+    retry_ms.is_some() && matches!(status, 429 | 503)
+}
+
 fn note_end(view: &View<'_>, request: &Request, sent: &Sent, end: &TryEnd) -> Note {
     let ended = note(view, &events::REQUEST_TRY_ENDED, &request.arrival)
         .with("runner", &sent.runner)
