--- a/src/reducer/ledger/catalog.rs
+++ b/src/reducer/ledger/catalog.rs
@@ -6,6 +6,7 @@
 use super::change::Class;
 use super::change::Rejected;
 use super::fleet::Fleet;
+use super::gangs::Gangs;
 use crate::model::Kind;
 use crate::model::Object;
 use crate::model::Pool;
@@ -55,6 +56,8 @@
 pub struct View<'a> {
     /// The workers.
     pub fleet: &'a Fleet,
+    /// The gangs.
+    pub gangs: &'a Gangs,
 }
 
 /// All objects in force.
@@ -78,6 +81,8 @@
     pub too_new: Option<Offset>,
     /// Counts the changes of racks.
     pub rack_changes: u64,
+    /// Counts the changes of racks and of guarantees.
+    pub shape_changes: u64,
 }
 
 impl Catalog {
@@ -208,6 +213,7 @@
             ruled: VecDeque::new(),
             too_new: None,
             rack_changes: self.rack_changes,
+            shape_changes: self.shape_changes,
         }
     }
 
@@ -215,6 +221,9 @@
         if class == Class::Rack {
             self.rack_changes += 1;
         }
+        if class == Class::Rack || self.reshapes(class, name, object.as_ref()) {
+            self.shape_changes += 1;
+        }
         match object {
             Some(Object::Workspace(value)) => put(&mut self.workspaces, name, value, version),
             Some(Object::Kind(value)) => put(&mut self.kinds, name, value, version),
@@ -225,6 +234,16 @@
         }
     }
 
+    /// Tells whether an object changes what is guaranteed.
+    fn reshapes(&self, class: Class, name: &str, object: Option<&Object>) -> bool {
+        let next = match object {
+            Some(Object::Workspace(next)) => next.guarantees.as_slice(),
+            _ => &[],
+        };
+        let present = self.workspace(name).map(|held| held.guarantees.as_slice());
+        class == Class::Workspace && present.unwrap_or_default() != next
+    }
+
     fn remove(&mut self, class: Class, name: &Name) {
         match class {
             Class::Workspace => drop(self.workspaces.remove(name)),
@@ -253,13 +272,20 @@
                 }
             }
         }
-        if let Err(text) = guarantee::can_promise(self, view.fleet) {
-            findings.add("guarantees", text);
+        if view.gangs.follows(self.shape_changes) {
+            return finish(findings);
         }
-        match findings.is_empty() {
-            true => Ok(()),
-            false => Err(findings),
+        if let Err(text) = guarantee::can_promise(self, view.fleet, view.gangs) {
+            findings.add("guarantees", text);
         }
+        finish(findings)
+    }
+}
+
+fn finish(findings: Findings) -> std::result::Result<(), Findings> {
+    match findings.is_empty() {
+        true => Ok(()),
+        false => Err(findings),
     }
 }
 
--- a/src/reducer/ledger/fleet.rs
+++ b/src/reducer/ledger/fleet.rs
@@ -2,6 +2,7 @@
 
 use super::Origin;
 use super::catalog::Catalog;
+use crate::model::Adjacency;
 use crate::model::Job;
 use crate::prelude::*;
 use crate::records::Slot;
@@ -11,6 +12,19 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+/// The jobs of several workspaces that must fail on a worker, with no success between, before it
+/// is quarantined.
+pub const SUSPECT_JOBS: usize = 3;
+/// As [`SUSPECT_JOBS`], if all jobs are of one workspace.
+pub const SUSPECT_ALONE: usize = 5;
+/// The most failures of a worker that are remembered.
+pub const SUSPECT_MAX: usize = 8;
+/// The first quarantine of a worker, in milliseconds; it doubles with each.
+pub const QUARANTINE_MS: u64 = 600_000;
+/// The most doublings of a quarantine.
+pub const QUARANTINE_DOUBLINGS: u32 = 5;
 
 /// A worker as the ledger knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,6 +55,23 @@
     pub retired: bool,
     /// The ledger's clock when the state changed, in milliseconds.
     pub since_ms: u64,
+    /// The gangs that have members on it.
+    pub jobs: BTreeSet<Name>,
+    /// The last failures on it that no success followed.
+    pub faults: Vec<Fault>,
+    /// How often it was quarantined since its last success.
+    pub strikes: u32,
+    /// The end of its quarantine, in milliseconds of the ledger's clock.
+    pub until_ms: u64,
+}
+
+/// A failure of a gang's members on a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// The gang.
+    pub job: Name,
+    /// Its workspace.
+    pub workspace: Name,
 }
 
 impl Host {
@@ -54,6 +85,29 @@
         self.state == WorkerState::Up && !self.retired
     }
 
+    /// Tells whether so many jobs failed on it in a row that the fault is its own.
+    ///
+    /// One failure is enough right after a quarantine.
+    pub fn suspect(&self) -> bool {
+        let first = self.faults.first().map(|fault| &fault.workspace);
+        let mut others = self.faults.iter().map(|fault| &fault.workspace);
+        let several = others.any(|workspace| Some(workspace) != first);
+        let need = match (self.strikes, several) {
+            (0, true) => SUSPECT_JOBS,
+            (0, false) => SUSPECT_ALONE,
+            _ => 1,
+        };
+        self.faults.len() >= need
+    }
+
+    /// Returns how many members of `job` fit when it is empty.
+    pub fn most(&self, job: &Job) -> u32 {
+        let by_accelerators = ratio(self.accelerators, job.accelerators);
+        let by_cores = ratio(self.cores, job.cores);
+        let by_memory = ratio(self.memory_gb, job.memory_gb);
+        by_accelerators.min(by_cores).min(by_memory)
+    }
+
     /// Returns how many members of `job` fit now.
     pub fn room(&self, job: &Job) -> u32 {
         if !self.usable() {
@@ -71,9 +125,23 @@
 pub struct Fleet {
     /// The workers, by name.
     pub hosts: BTreeMap<Name, Host>,
+    /// The racks of the configuration, by name.
+    pub racks: BTreeMap<Name, RackSize>,
+    /// The accelerators of each data centre.
+    pub centres: BTreeMap<Name, u32>,
+    total: u64,
     followed: u64,
 }
 
+/// The size of a configured rack.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RackSize {
+    /// Its data centre.
+    pub centre: Name,
+    /// Its accelerators.
+    pub accelerators: u32,
+}
+
 impl Fleet {
     /// Takes over the racks of the configuration; what is held stays held.
     pub(super) fn follow(&mut self, catalog: &Catalog) {
@@ -101,6 +169,10 @@
                     state: WorkerState::Up,
                     retired: false,
                     since_ms: 0,
+                    jobs: BTreeSet::new(),
+                    faults: Vec::new(),
+                    strikes: 0,
+                    until_ms: 0,
                 });
                 host.rack = rack.name.clone();
                 host.centre = rack.centre.clone();
@@ -111,9 +183,97 @@
                 host.retired = false;
             }
         }
+        self.measure();
         self.drop_retired();
     }
 
+    /// Returns the fleet of another configuration, if its racks are others.
+    pub fn after(&self, catalog: &Catalog) -> Option<Self> {
+        if self.followed == catalog.rack_changes {
+            return None;
+        }
+        let mut fleet = self.clone();
+        fleet.follow(catalog);
+        Some(fleet)
+    }
+
+    /// Returns the accelerators of all configured workers.
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+
+    /// Returns the data centre of a configured rack.
+    pub fn centre_of(&self, rack: &Name) -> Option<Name> {
+        self.racks.get(rack).map(|rack| rack.centre.clone())
+    }
+
+    /// Returns the configured accelerators of a domain, 0 if there is none.
+    pub fn size(&self, level: Adjacency, place: &Name) -> u32 {
+        let size = match level {
+            Adjacency::Worker => {
+                let host = self.hosts.get(place).filter(|host| !host.retired);
+                host.map(|host| host.accelerators)
+            }
+            Adjacency::Rack => self.racks.get(place).map(|rack| rack.accelerators),
+            Adjacency::Centre => self.centres.get(place).copied(),
+            Adjacency::Any => None,
+        };
+        size.unwrap_or(0)
+    }
+
+    /// Iterates over the names of all domains of a level.
+    pub fn domains(&self, level: Adjacency) -> Box<dyn Iterator<Item = &Name> + '_> {
+        match level {
+            Adjacency::Worker => Box::new(self.hosts.keys()),
+            Adjacency::Rack => Box::new(self.racks.keys()),
+            _ => Box::new(self.centres.keys()),
+        }
+    }
+
+    fn measure(&mut self) {
+        self.racks.clear();
+        self.centres.clear();
+        self.total = 0;
+        for host in self.hosts.values().filter(|host| !host.retired) {
+            let rack = self.racks.entry(host.rack.clone()).or_insert(RackSize {
+                centre: host.centre.clone(),
+                accelerators: 0,
+            });
+            rack.accelerators += host.accelerators;
+            *self.centres.entry(host.centre.clone()).or_insert(0) += host.accelerators;
+            self.total += u64::from(host.accelerators);
+        }
+    }
+
+    /// Counts a failure of a gang on a worker.
+    pub(super) fn blame(&mut self, worker: &Name, job: &Job) {
+        let Some(host) = self.hosts.get_mut(worker) else {
+            return;
+        };
+        let known = host.faults.iter().any(|fault| fault.job == job.id);
+        if !known && host.faults.len() < SUSPECT_MAX {
+            host.faults.push(Fault {
+                job: job.id.clone(),
+                workspace: job.workspace.clone(),
+            });
+        }
+    }
+
+    /// Forgets the failures of a gang whose fault is its own.
+    pub(super) fn absolve(&mut self, worker: &Name, job: &Name) {
+        if let Some(host) = self.hosts.get_mut(worker) {
+            host.faults.retain(|fault| fault.job != *job);
+        }
+    }
+
+    /// Forgets all failures of a worker on which a gang ran to its end.
+    pub(super) fn trust(&mut self, worker: &Name) {
+        if let Some(host) = self.hosts.get_mut(worker) {
+            host.faults.clear();
+            host.strikes = 0;
+        }
+    }
+
     pub(super) fn report(
         &mut self,
         worker: &Name,
@@ -124,9 +284,26 @@
         let Some(host) = self.hosts.get_mut(worker) else {
             return Err(Void::Unknown(format!("worker {worker}")));
         };
+        let bound = host.until_ms > origin.at_ms && host.state == WorkerState::Lost;
+        let state = match state {
+            WorkerState::Up if bound => WorkerState::Quarantined,
+            state => state,
+        };
         if host.state == state {
             return Err(Void::Phase);
         }
+        if state == WorkerState::Up && host.until_ms > origin.at_ms {
+            return Err(Void::Policy("its quarantine has not ended".into()));
+        }
+        if state == WorkerState::Quarantined && !bound {
+            if !host.suspect() {
+                return Err(Void::Policy("too few jobs failed on it".into()));
+            }
+            let doublings = host.strikes.min(QUARANTINE_DOUBLINGS);
+            host.until_ms = origin.at_ms + (QUARANTINE_MS << doublings);
+            host.strikes += 1;
+            host.faults.clear();
+        }
         host.state = state;
         host.since_ms = origin.at_ms;
         Ok(())
@@ -156,21 +333,27 @@
         for slot in slots {
             if let Some(host) = self.hosts.get_mut(&slot.worker) {
                 take(host, job, slot);
+                host.jobs.insert(job.id.clone());
             }
         }
     }
 
     /// Frees the slots.
     pub(super) fn free(&mut self, job: &Job, slots: &[Slot]) {
+        let mut gone = false;
         for slot in slots {
             if let Some(host) = self.hosts.get_mut(&slot.worker) {
                 host.held &= !slot.mask;
                 host.held_cores = host.held_cores.saturating_sub(job.cores);
                 host.held_gb = host.held_gb.saturating_sub(job.memory_gb);
                 host.members = host.members.saturating_sub(1);
+                host.jobs.remove(&job.id);
+                gone |= host.retired && host.members == 0;
             }
         }
-        self.drop_retired();
+        if gone {
+            self.drop_retired();
+        }
     }
 
     fn drop_retired(&mut self) {
--- a/src/reducer/ledger/gangs.rs
+++ b/src/reducer/ledger/gangs.rs
@@ -5,9 +5,13 @@
 //! Its accelerators come back only when every worker said that its members have ended, or when
 //! the worker was silent for longer than a lease.
 
+pub mod fit;
+pub mod learn;
+mod placing;
+mod reports;
+
 use super::Ledger;
 use super::Origin;
-use super::catalog::check_allowed;
 use crate::model::Job;
 use crate::model::Kind;
 use crate::prelude::*;
@@ -16,11 +20,14 @@
 use crate::records::Slot;
 use crate::records::Verdict;
 use crate::records::Void;
-use crate::records::WorkerState;
 use crate::reducer::plan::guarantee;
+use crate::reducer::plan::standing::Cover;
+use crate::reducer::plan::standing::Standing;
+use learn::Learned;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 /// The most gangs that wait or run.
@@ -29,6 +36,8 @@
 pub const ENDED_MAX: usize = 20_000;
 /// The most placements of one gang that end by a fault.
 pub const FAULTS_MAX: u32 = 5;
+/// The different workers on which a gang fails before the fault counts as its own.
+pub const OWN_FAULT_WORKERS: usize = 3;
 /// The most members of one gang.
 pub const MEMBERS_MAX: u32 = 1_024;
 
@@ -93,8 +102,18 @@
     pub reports: BTreeMap<Name, MemberState>,
     /// The run time that is kept by its checkpoint, in milliseconds.
     pub kept_ms: u64,
+    /// The run time that each worker's checkpoint of this placement keeps, in milliseconds.
+    pub marks: BTreeMap<Name, u64>,
     /// Whether the last placement ever ran.
     pub started: bool,
+    /// Whether it cannot be stopped, by the configuration in force at its last placement.
+    pub firm: bool,
+    /// Its part in the guarantees of its workspace; empty if it borrows.
+    pub cover: Vec<Cover>,
+    /// The workers on which it failed.
+    pub failed_on: BTreeSet<Name>,
+    /// The ledger's clock at its last start, in milliseconds.
+    pub start_ms: u64,
     /// The ledger's clock at its submission, in milliseconds.
     pub submitted_ms: u64,
     /// The ledger's clock when its phase last changed, in milliseconds.
@@ -115,6 +134,17 @@
     pub fn holds(&self) -> bool {
         !self.slots.is_empty()
     }
+
+    /// Tells whether it can be taken off its accelerators for other work.
+    pub fn reclaimable(&self) -> bool {
+        let holds = matches!(self.phase, Phase::Preparing | Phase::Running);
+        holds && !(self.firm && self.started)
+    }
+
+    /// Tells whether it waits for accelerators.
+    pub fn waits(&self) -> bool {
+        self.phase == Phase::Queued
+    }
 }
 
 /// All gangs.
@@ -122,6 +152,17 @@
 pub struct Gangs {
     /// The gangs, by identifier.
     pub all: BTreeMap<Name, Gang>,
+    /// The gangs that wait.
+    pub queued: BTreeSet<Name>,
+    /// The gangs that hold slots.
+    pub holding: BTreeSet<Name>,
+    /// The accelerators that each workspace holds.
+    pub held: BTreeMap<Name, u64>,
+    /// Where every guaranteed shape can be reclaimed.
+    pub standing: Standing,
+    /// What finished gangs teach about run times.
+    pub learned: Learned,
+    followed: u64,
     ended: VecDeque<Name>,
 }
 
@@ -131,6 +172,11 @@
         self.all.len() - self.ended.len()
     }
 
+    /// Tells whether the standing assignment is that of the guarantees after so many changes.
+    pub fn follows(&self, shape_changes: u64) -> bool {
+        self.followed == shape_changes
+    }
+
     /// Forgets the gangs that ended longest ago.
     pub(super) fn forget(&mut self) {
         while self.ended.len() > ENDED_MAX {
@@ -146,6 +192,24 @@
     kind.is_some_and(|kind| kind.idempotent || kind.checkpoint)
 }
 
+/// Assigns the guaranteed shapes anew if the configuration changed them.
+pub(super) fn follow_catalog(ledger: &mut Ledger) {
+    if ledger.gangs.followed == ledger.catalog.shape_changes {
+        return;
+    }
+    ledger.gangs.followed = ledger.catalog.shape_changes;
+    let found = guarantee::promise(&ledger.catalog, &ledger.fleet, &ledger.gangs);
+    let Ok(mut found) = found else {
+        return;
+    };
+    ledger.gangs.standing = found.standing;
+    for job in &ledger.gangs.holding {
+        if let Some(gang) = ledger.gangs.all.get_mut(job) {
+            gang.cover = found.covers.remove(job).unwrap_or_default();
+        }
+    }
+}
+
 /// Rules on an entry about a gang.
 pub(super) fn rule(
     ledger: &mut Ledger,
@@ -155,7 +219,7 @@
 ) -> Verdict {
     let job = match entry {
         Entry::Submit { job } => {
-            submit(ledger, origin, job)?;
+            placing::submit(ledger, origin, job)?;
             &job.id
         }
         Entry::Cancel { job } => {
@@ -167,30 +231,20 @@
             attempt,
             slots,
         } => {
-            place(ledger, origin, job, *attempt, slots)?;
+            placing::place(ledger, origin, job, *attempt, slots)?;
             job
         }
         Entry::Reclaim { job, token, waiter } => {
-            reclaim(ledger, origin, job, *token, waiter.clone())?;
+            placing::reclaim(ledger, origin, job, *token, waiter.clone())?;
             job
         }
         Entry::Reject { job, reason } => {
-            let gang = find(ledger, job)?;
-            if gang.phase != Phase::Queued {
-                return Err(Void::Phase);
-            }
-            end(ledger, origin, job, Ending::Rejected(reason.clone()));
+            placing::reject(ledger, origin, job, reason)?;
             job
         }
-        Entry::Member {
-            job,
-            token,
-            worker,
-            state,
-            kept_ms,
-        } => {
+        Entry::Member { job, .. } => {
             let before = find(ledger, job)?.phase.clone();
-            report(ledger, origin, job, *token, worker, *state, *kept_ms)?;
+            reports::report(ledger, origin, entry)?;
             if find(ledger, job)?.phase == before {
                 return Ok(());
             }
@@ -202,248 +256,26 @@
     Ok(())
 }
 
-/// Takes down the gangs of a worker that was lost.
-pub(super) fn follow_worker(ledger: &mut Ledger, worker: &Name, moved: &mut Vec<Name>) {
-    let lost = ledger
-        .fleet
-        .hosts
-        .get(worker)
-        .is_some_and(|host| host.state == WorkerState::Lost);
-    if !lost {
-        return;
-    }
-    let clock_ms = ledger.clock_ms;
-    let cfg = ledger.catalog.next;
-    for (job, gang) in &mut ledger.gangs.all {
-        let on_it = gang.slots.iter().any(|slot| slot.worker == *worker);
-        if on_it && matches!(gang.phase, Phase::Preparing | Phase::Running) {
-            let kind = ledger.catalog.kind(&gang.job.kind);
-            stop_after_loss(gang, stoppable(kind), "a worker was lost", cfg, clock_ms);
-            moved.push(job.clone());
-        }
-    }
-}
+pub(super) use reports::follow_worker;
 
 fn find<'a>(ledger: &'a mut Ledger, job: &Name) -> std::result::Result<&'a mut Gang, Void> {
     let found = ledger.gangs.all.get_mut(job);
     found.ok_or_else(|| Void::Unknown(format!("job {job}")))
 }
 
-fn submit(ledger: &mut Ledger, origin: &Origin, job: &Job) -> Verdict {
-    check_allowed(&ledger.catalog, &job.workspace, &job.kind)?;
-    if ledger.gangs.all.contains_key(&job.id) {
-        return Err(Void::Taken);
-    }
-    if ledger.gangs.live() >= LIVE_MAX {
-        return Err(Void::Full("live jobs".into()));
-    }
-    if job.members == 0 || job.members > MEMBERS_MAX {
-        return Err(Void::Policy(format!("members must be 1 to {MEMBERS_MAX}")));
-    }
-    let gang = Gang {
-        job: job.clone(),
-        phase: Phase::Queued,
-        token: 0,
-        attempt: 0,
-        faults: 0,
-        slots: Vec::new(),
-        reports: BTreeMap::new(),
-        kept_ms: 0,
-        started: false,
-        submitted_ms: origin.at_ms,
-        since_ms: origin.at_ms,
-        cfg: origin.cfg,
-        waiter: None,
-    };
-    ledger.gangs.all.insert(job.id.clone(), gang);
-    Ok(())
-}
-
 fn cancel(ledger: &mut Ledger, origin: &Origin, job: &Name) -> Verdict {
     let gang = find(ledger, job)?;
     match &gang.phase {
         Phase::Queued => end(ledger, origin, job, Ending::Cancelled),
         Phase::Preparing | Phase::Running | Phase::Stopping(After::Queue) => {
-            stop(
-                gang,
-                After::End(Ending::Cancelled),
-                origin.cfg,
-                origin.at_ms,
-            );
+            let after = After::End(Ending::Cancelled);
+            stop(gang, after, origin.cfg, origin.at_ms);
         }
         Phase::Stopping(After::End(_)) | Phase::Ended(_) => return Err(Void::Phase),
     }
     Ok(())
 }
 
-fn place(
-    ledger: &mut Ledger,
-    origin: &Origin,
-    job: &Name,
-    attempt: u32,
-    slots: &[Slot],
-) -> Verdict {
-    let gang = find(ledger, job)?;
-    if gang.phase != Phase::Queued {
-        return Err(Void::Phase);
-    }
-    if gang.attempt != attempt {
-        return Err(Void::Token);
-    }
-    if slots.len() != gang.job.members as usize {
-        return Err(Void::Policy("a slot for each member".into()));
-    }
-    let spec = gang.job.clone();
-    guarantee::check_place(ledger, &spec, slots)?;
-    ledger.fleet.check(&spec, slots)?;
-    ledger.fleet.hold(&spec, slots);
-    let gang = find(ledger, job)?;
-    gang.phase = Phase::Preparing;
-    gang.token = origin.offset;
-    gang.attempt += 1;
-    gang.slots = slots.to_vec();
-    gang.reports.clear();
-    gang.started = false;
-    gang.waiter = None;
-    gang.since_ms = origin.at_ms;
-    gang.cfg = origin.cfg;
-    Ok(())
-}
-
-fn reclaim(
-    ledger: &mut Ledger,
-    origin: &Origin,
-    job: &Name,
-    token: Offset,
-    waiter: Option<Name>,
-) -> Verdict {
-    let gang = find(ledger, job)?;
-    if gang.token != token {
-        return Err(Void::Token);
-    }
-    if !matches!(gang.phase, Phase::Preparing | Phase::Running) {
-        return Err(Void::Phase);
-    }
-    let kind = gang.job.kind.clone();
-    let started = gang.started;
-    if started && !stoppable(ledger.catalog.kind(&kind)) {
-        return Err(Void::Policy(format!("{kind} cannot be stopped")));
-    }
-    let gang = find(ledger, job)?;
-    gang.waiter = waiter;
-    stop(gang, After::Queue, origin.cfg, origin.at_ms);
-    Ok(())
-}
-
-fn report(
-    ledger: &mut Ledger,
-    origin: &Origin,
-    job: &Name,
-    token: Offset,
-    worker: &Name,
-    state: MemberState,
-    kept_ms: u64,
-) -> Verdict {
-    let kind = find(ledger, job)?.job.kind.clone();
-    let stoppable = stoppable(ledger.catalog.kind(&kind));
-    let gang = find(ledger, job)?;
-    if gang.token != token {
-        return Err(Void::Token);
-    }
-    if !gang.slots.iter().any(|slot| slot.worker == *worker) {
-        return Err(Void::Unknown(format!("member on {worker}")));
-    }
-    if gang
-        .reports
-        .get(worker)
-        .is_some_and(|last| final_state(*last) || *last == state)
-    {
-        return Err(Void::Phase);
-    }
-    gang.reports.insert(worker.clone(), state);
-    if gang.job.accelerators > 0 || kept_ms > gang.kept_ms {
-        gang.kept_ms = gang.kept_ms.max(kept_ms);
-    }
-    let cfg = origin.cfg;
-    let at_ms = origin.at_ms;
-    match (&gang.phase, state) {
-        (Phase::Preparing, MemberState::Ready)
-            if all(gang, |state| state == MemberState::Ready) =>
-        {
-            gang.phase = Phase::Running;
-            gang.started = true;
-            gang.since_ms = at_ms;
-            gang.cfg = cfg;
-        }
-        (Phase::Running, MemberState::Done | MemberState::Ready)
-            if all(gang, |state| state == MemberState::Done) =>
-        {
-            end(ledger, origin, job, Ending::Done);
-        }
-        (Phase::Preparing | Phase::Running, MemberState::Failed) => {
-            gang.faults += 1;
-            let after = match gang.faults < FAULTS_MAX && (stoppable || !gang.started) {
-                true => After::Queue,
-                false => After::End(Ending::Failed("a member failed".into())),
-            };
-            stop(gang, after, cfg, at_ms);
-        }
-        (Phase::Preparing | Phase::Running, _) => {
-            stop_after_loss(gang, stoppable, "a member was lost", cfg, at_ms);
-        }
-        _ => {}
-    }
-    settle_stop(ledger, origin, job);
-    Ok(())
-}
-
-/// Ends the stop of a gang once each of its workers said that its members have ended.
-fn settle_stop(ledger: &mut Ledger, origin: &Origin, job: &Name) {
-    let Some(gang) = ledger.gangs.all.get_mut(job) else {
-        return;
-    };
-    let Phase::Stopping(after) = gang.phase.clone() else {
-        return;
-    };
-    if !all(gang, final_state) {
-        return;
-    }
-    let complete = all(gang, |state| state == MemberState::Done);
-    match after {
-        _ if complete => end(ledger, origin, job, Ending::Done),
-        After::End(ending) => end(ledger, origin, job, ending),
-        After::Queue => {
-            let spec = gang.job.clone();
-            let slots = std::mem::take(&mut gang.slots);
-            gang.phase = Phase::Queued;
-            gang.since_ms = origin.at_ms;
-            gang.cfg = origin.cfg;
-            ledger.fleet.free(&spec, &slots);
-        }
-    }
-}
-
-fn all(gang: &Gang, test: impl Fn(MemberState) -> bool) -> bool {
-    gang.slots.iter().all(|slot| {
-        let state = gang.reports.get(&slot.worker);
-        state.is_some_and(|state| test(*state))
-    })
-}
-
-fn final_state(state: MemberState) -> bool {
-    state != MemberState::Ready
-}
-
-fn stop_after_loss(gang: &mut Gang, stoppable: bool, why: &str, cfg: Offset, at_ms: u64) {
-    gang.faults += 1;
-    let after = match (gang.started, stoppable) {
-        (true, false) => After::End(Ending::Unknown(why.into())),
-        _ if gang.faults >= FAULTS_MAX => After::End(Ending::Failed(why.into())),
-        _ => After::Queue,
-    };
-    stop(gang, after, cfg, at_ms);
-}
-
 fn stop(gang: &mut Gang, after: After, cfg: Offset, at_ms: u64) {
     gang.phase = Phase::Stopping(after);
     gang.since_ms = at_ms;
@@ -451,6 +283,7 @@
 }
 
 fn end(ledger: &mut Ledger, origin: &Origin, job: &Name, ending: Ending) {
+    release(ledger, job);
     let Some(gang) = ledger.gangs.all.get_mut(job) else {
         return;
     };
@@ -458,8 +291,26 @@
     gang.since_ms = origin.at_ms;
     gang.cfg = origin.cfg;
     gang.reports.clear();
-    let slots = std::mem::take(&mut gang.slots);
-    let spec = gang.job.clone();
+    gang.marks.clear();
+    ledger.gangs.queued.remove(job);
     ledger.gangs.ended.push_back(job.clone());
-    ledger.fleet.free(&spec, &slots);
+}
+
+/// Frees all that a gang holds.
+fn release(ledger: &mut Ledger, job: &Name) {
+    let Some(gang) = ledger.gangs.all.get_mut(job) else {
+        return;
+    };
+    let slots = std::mem::take(&mut gang.slots);
+    if slots.is_empty() {
+        return;
+    }
+    let covers = std::mem::take(&mut gang.cover);
+    ledger.gangs.standing.uncover(&ledger.fleet, &covers);
+    ledger.gangs.holding.remove(job);
+    let size = guarantee::size(&gang.job);
+    if let Some(held) = ledger.gangs.held.get_mut(&gang.job.workspace) {
+        *held = held.saturating_sub(size);
+    }
+    ledger.fleet.free(&gang.job, &slots);
 }
--- /dev/null
+++ b/src/reducer/ledger/gangs/placing.rs
@@ -0,0 +1,140 @@
+//! Submits, places, reclaims and rejects gangs.
+
+use super::After;
+use super::Ending;
+use super::Gang;
+use super::LIVE_MAX;
+use super::MEMBERS_MAX;
+use super::Phase;
+use super::end;
+use super::find;
+use super::fit;
+use super::stop;
+use super::stoppable;
+use crate::model::Job;
+use crate::prelude::*;
+use crate::records::Slot;
+use crate::records::Verdict;
+use crate::records::Void;
+use crate::reducer::ledger::Ledger;
+use crate::reducer::ledger::Origin;
+use crate::reducer::plan::guarantee;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+pub(super) fn submit(ledger: &mut Ledger, origin: &Origin, job: &Job) -> Verdict {
+    if ledger.gangs.all.contains_key(&job.id) {
+        return Err(Void::Taken);
+    }
+    if ledger.gangs.live() >= LIVE_MAX {
+        return Err(Void::Full("live jobs".into()));
+    }
+    if job.members == 0 || job.members > MEMBERS_MAX {
+        return Err(Void::Policy(format!("members must be 1 to {MEMBERS_MAX}")));
+    }
+    fit::can_run(ledger, job)?;
+    let gang = Gang {
+        job: job.clone(),
+        phase: Phase::Queued,
+        token: 0,
+        attempt: 0,
+        faults: 0,
+        slots: Vec::new(),
+        reports: BTreeMap::new(),
+        kept_ms: 0,
+        marks: BTreeMap::new(),
+        started: false,
+        firm: false,
+        cover: Vec::new(),
+        failed_on: BTreeSet::new(),
+        start_ms: 0,
+        submitted_ms: origin.at_ms,
+        since_ms: origin.at_ms,
+        cfg: origin.cfg,
+        waiter: None,
+    };
+    ledger.gangs.all.insert(job.id.clone(), gang);
+    ledger.gangs.queued.insert(job.id.clone());
+    Ok(())
+}
+
+pub(super) fn place(
+    ledger: &mut Ledger,
+    origin: &Origin,
+    job: &Name,
+    attempt: u32,
+    slots: &[Slot],
+) -> Verdict {
+    let gang = find(ledger, job)?;
+    if gang.phase != Phase::Queued {
+        return Err(Void::Phase);
+    }
+    if gang.attempt != attempt {
+        return Err(Void::Token);
+    }
+    let spec = gang.job.clone();
+    if slots.len() != spec.members as usize {
+        return Err(Void::Policy("a slot for each member".into()));
+    }
+    ledger.catalog.allows(&spec.workspace, &spec.kind)?;
+    fit::check_adjacent(&ledger.fleet, &spec, slots)?;
+    guarantee::check_quota(ledger, &spec)?;
+    ledger.fleet.check(&spec, slots)?;
+    let firm = !stoppable(ledger.catalog.kind(&spec.kind));
+    let standing = &mut ledger.gangs.standing;
+    let cover = guarantee::check_place(standing, &ledger.fleet, &spec, firm, slots)?;
+    ledger.fleet.hold(&spec, slots);
+    let held = &mut ledger.gangs.held;
+    *held.entry(spec.workspace.clone()).or_insert(0) += guarantee::size(&spec);
+    ledger.gangs.queued.remove(job);
+    ledger.gangs.holding.insert(job.clone());
+    let gang = find(ledger, job)?;
+    gang.phase = Phase::Preparing;
+    gang.token = origin.offset;
+    gang.attempt += 1;
+    gang.slots = slots.to_vec();
+    gang.cover = cover;
+    gang.firm = firm;
+    gang.reports.clear();
+    gang.marks.clear();
+    gang.started = false;
+    gang.waiter = None;
+    gang.since_ms = origin.at_ms;
+    gang.cfg = origin.cfg;
+    Ok(())
+}
+
+pub(super) fn reclaim(
+    ledger: &mut Ledger,
+    origin: &Origin,
+    job: &Name,
+    token: Offset,
+    waiter: Option<Name>,
+) -> Verdict {
+    let gang = find(ledger, job)?;
+    if gang.token != token {
+        return Err(Void::Token);
+    }
+    if !matches!(gang.phase, Phase::Preparing | Phase::Running) {
+        return Err(Void::Phase);
+    }
+    if !gang.reclaimable() {
+        return Err(Void::Policy(format!("{} cannot be stopped", gang.job.kind)));
+    }
+    gang.waiter = waiter;
+    stop(gang, After::Queue, origin.cfg, origin.at_ms);
+    Ok(())
+}
+
+pub(super) fn reject(ledger: &mut Ledger, origin: &Origin, job: &Name, why: &str) -> Verdict {
+    let gang = find(ledger, job)?;
+    if gang.phase != Phase::Queued {
+        return Err(Void::Phase);
+    }
+    let spec = gang.job.clone();
+    if fit::can_run(ledger, &spec).is_ok() {
+        return Err(Void::Policy("it can run".into()));
+    }
+    end(ledger, origin, job, Ending::Rejected(why.to_owned()));
+    Ok(())
+}
--- a/src/reducer/ledger/mod.rs
+++ b/src/reducer/ledger/mod.rs
@@ -176,9 +176,13 @@
                 break;
             }
             if record.offset >= self.catalog.next {
-                let view = catalog::View { fleet: &self.fleet };
+                let view = catalog::View {
+                    fleet: &self.fleet,
+                    gangs: &self.gangs,
+                };
                 changes.push(self.catalog.rule(record, self.next - 1, &view));
                 self.fleet.follow(&self.catalog);
+                gangs::follow_catalog(self);
             }
             staged.records.pop_front();
         }
--- a/src/reducer/plan/guarantee.rs
+++ b/src/reducer/plan/guarantee.rs
@@ -1,5 +1,9 @@
-//! The guarantees: a standing assignment of every workspace's guaranteed shapes.
+//! The guarantees: what may be promised, and which placements leave every promise reclaimable.
 
+use super::repack;
+use super::standing::Cover;
+use super::standing::Standing;
+use super::standing::by_worker;
 use crate::model::Job;
 use crate::prelude::*;
 use crate::records::Slot;
@@ -8,54 +12,187 @@
 use crate::reducer::ledger::Ledger;
 use crate::reducer::ledger::catalog::Catalog;
 use crate::reducer::ledger::fleet::Fleet;
+use crate::reducer::ledger::gangs::Gang;
+use crate::reducer::ledger::gangs::Gangs;
+use std::collections::BTreeMap;
 
-/// Checks that all guaranteed shapes fit on the configured workers at once.
+/// What a configuration gives: the assignment, and which gangs are within it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Promise {
+    /// The assignment.
+    pub standing: Standing,
+    /// The covers of each gang that holds slots within it or cannot be stopped.
+    pub covers: BTreeMap<Name, Vec<Cover>>,
+}
+
+/// Checks that all guaranteed shapes fit on the configured workers at once, adjacency included,
+/// beside the running work that cannot be stopped.
 ///
 /// # Errors
 ///
-/// Says which shape does not fit.
-pub fn can_promise(catalog: &Catalog, _fleet: &Fleet) -> std::result::Result<(), String> {
-    let have: u64 = catalog
-        .racks
-        .values()
-        .flat_map(|held| &held.value.workers)
-        .map(|worker| u64::from(worker.accelerators))
-        .sum();
+/// Says which part does not fit.
+pub fn can_promise(
+    catalog: &Catalog,
+    fleet: &Fleet,
+    gangs: &Gangs,
+) -> std::result::Result<(), String> {
+    let rebuilt = fleet.after(catalog);
+    let fleet = rebuilt.as_ref().unwrap_or(fleet);
+    promise(catalog, fleet, gangs).map(|_| ())
+}
+
+/// Assigns all guaranteed shapes of a configuration.
+///
+/// # Errors
+///
+/// Says which part does not fit.
+pub fn promise(
+    catalog: &Catalog,
+    fleet: &Fleet,
+    gangs: &Gangs,
+) -> std::result::Result<Promise, String> {
+    let have = fleet.total();
     let promised: u64 = catalog
         .workspaces
         .values()
         .flat_map(|held| &held.value.guarantees)
         .map(|one| u64::from(one.count) * u64::from(one.shape.accelerators))
         .sum();
-    match promised <= have {
-        true => Ok(()),
-        false => Err(format!(
+    if promised > have {
+        return Err(format!(
             "{promised} accelerators are promised, {have} exist"
-        )),
+        ));
+    }
+    let mut standing = Standing::unassigned(catalog);
+    if !repack::repack(&mut standing, fleet, &mut Vec::new()) {
+        return Err("the promised shapes do not fit side by side on the configured workers".into());
+    }
+    let mut covers = BTreeMap::new();
+    let mut holding: Vec<&Gang> = gangs.all.values().filter(|gang| gang.holds()).collect();
+    holding.sort_by_key(|gang| (!gang.firm, gang.token));
+    for gang in holding {
+        if !gang.firm && gang.cover.is_empty() {
+            continue;
+        }
+        let found = standing.cover(fleet, &gang.job.workspace, &gang.slots);
+        let found = match found {
+            Some(found) => found,
+            None if gang.firm => block(&mut standing, fleet, gang)?,
+            None => continue,
+        };
+        covers.insert(gang.job.id.clone(), found);
+    }
+    Ok(Promise { standing, covers })
+}
+
+fn block(
+    standing: &mut Standing,
+    fleet: &Fleet,
+    gang: &Gang,
+) -> std::result::Result<Vec<Cover>, String> {
+    let found = standing.block(fleet, &gang.slots);
+    let mut steps = Vec::new();
+    let clear = repack::overloaded(standing, fleet).is_none();
+    if standing.loads.total <= fleet.total()
+        && (clear || repack::repack(standing, fleet, &mut steps))
+    {
+        return Ok(found);
     }
+    Err(format!(
+        "job {} cannot be stopped and stands in the way of the promised shapes",
+        gang.job.id
+    ))
 }
 
-/// Checks that a placement leaves every guarantee reclaimable and the quota respected.
+/// Checks that a placement keeps to the quota of its workspace.
 ///
 /// # Errors
 ///
-/// [`Void::Policy`] or [`Void::Guarantee`].
-pub fn check_place(ledger: &Ledger, job: &Job, _slots: &[Slot]) -> Verdict {
+/// [`Void::Unknown`] or [`Void::Policy`].
+pub fn check_quota(ledger: &Ledger, job: &Job) -> Verdict {
     let Some(workspace) = ledger.catalog.workspace(&job.workspace) else {
         return Err(Void::Unknown(format!("workspace/{}", job.workspace)));
     };
     let held = held_by(ledger, &job.workspace);
-    if held + job.members * job.accelerators > workspace.quota {
-        return Err(Void::Policy("quota".into()));
+    let need = size(job);
+    if held + need > u64::from(workspace.quota) {
+        let text = format!("{held} held and {need} more pass the quota");
+        return Err(Void::Policy(text));
     }
     Ok(())
 }
 
+/// Counts a placement in the standing assignment; work that cannot be stopped must be within its
+/// guarantee, other work may also borrow.
+///
+/// # Errors
+///
+/// [`Void::Guarantee`]; then nothing changed.
+pub fn check_place(
+    standing: &mut Standing,
+    fleet: &Fleet,
+    job: &Job,
+    firm: bool,
+    slots: &[Slot],
+) -> std::result::Result<Vec<Cover>, Void> {
+    match standing.cover(fleet, &job.workspace, slots) {
+        Some(covers) => Ok(covers),
+        None if firm => Err(Void::Guarantee(format!(
+            "{} cannot be stopped and its slots are not within a shape guaranteed to {}",
+            job.kind, job.workspace
+        ))),
+        None => Ok(Vec::new()),
+    }
+}
+
 /// Returns the accelerators that a workspace holds.
-pub fn held_by(ledger: &Ledger, workspace: &Name) -> u32 {
-    let gangs = ledger.gangs.all.values();
-    gangs
-        .filter(|gang| gang.job.workspace == *workspace && gang.holds())
-        .map(|gang| gang.accelerators())
-        .sum()
+pub fn held_by(ledger: &Ledger, workspace: &Name) -> u64 {
+    ledger.gangs.held.get(workspace).copied().unwrap_or(0)
+}
+
+/// Returns the accelerators of a whole gang.
+pub fn size(job: &Job) -> u64 {
+    u64::from(job.members) * u64::from(job.accelerators)
+}
+
+/// Checks the ledger's standing assignment from scratch: that every guaranteed shape has a place
+/// where it fits, counted with all work that is not reclaimable for it.
+///
+/// # Errors
+///
+/// Says what is wrong.
+pub fn verify(ledger: &Ledger) -> std::result::Result<(), String> {
+    let mut fresh = Standing::unassigned(&ledger.catalog);
+    let standing = &ledger.gangs.standing;
+    for (workspace, cells) in &mut fresh.cells {
+        let kept = standing.cells.get(workspace);
+        let kept = kept.ok_or_else(|| format!("{workspace} has no cells"))?;
+        if kept.len() != cells.len() {
+            return Err(format!("{workspace} has another number of cells"));
+        }
+        for (cell, kept) in cells.iter_mut().zip(kept) {
+            let any = cell.shape.adjacency == crate::model::Adjacency::Any;
+            if cell.shape != kept.shape || (kept.place.is_empty() && !any) {
+                return Err(format!("a cell of {workspace} has no place"));
+            }
+        }
+    }
+    fresh.place_like(&ledger.fleet, standing);
+    for gang in ledger.gangs.all.values().filter(|gang| gang.holds()) {
+        let mut covered: BTreeMap<Name, u32> = BTreeMap::new();
+        for cover in &gang.cover {
+            *covered.entry(cover.worker.clone()).or_insert(0) += cover.accelerators;
+            fresh.recount(&ledger.fleet, &gang.job.workspace, cover)?;
+        }
+        if gang.firm && covered != by_worker(&gang.slots) {
+            return Err(format!("{} cannot be stopped and borrows", gang.job.id));
+        }
+    }
+    if fresh.loads.total > ledger.fleet.total() {
+        return Err("more is promised than exists".into());
+    }
+    match repack::overloaded(&fresh, &ledger.fleet) {
+        Some(over) => Err(format!("{} holds more than it can", over.place)),
+        None => Ok(()),
+    }
 }
--- a/src/reducer/plan/mod.rs
+++ b/src/reducer/plan/mod.rs
@@ -1,5 +1,11 @@
 //! Plans: which gang goes where, what must be reclaimed, and what can be promised.
 
+pub mod board;
 pub mod guarantee;
 pub mod pack;
+pub mod queue;
+mod repack;
+mod reserve;
 pub mod round;
+pub mod standing;
+pub mod victims;
--- a/src/reducer/plan/pack.rs
+++ b/src/reducer/plan/pack.rs
@@ -1,41 +1,103 @@
-//! Packing: the slots that a gang gets.
+//! Packing: the slots that a gang gets, so that whole workers and whole racks stay open.
 
+use super::board::Board;
+use super::board::Rest;
+use super::board::Spot;
+use super::standing::Standing;
 use crate::model::Adjacency;
 use crate::model::Job;
 use crate::prelude::*;
 use crate::records::Slot;
-use crate::reducer::ledger::fleet::Fleet;
-use crate::reducer::ledger::fleet::Host;
 use std::collections::BTreeMap;
 
-/// Finds a slot for each member of `job` among free accelerators, or nothing if it does not fit.
-pub fn find(fleet: &Fleet, job: &Job) -> Option<Vec<Slot>> {
-    let mut groups: BTreeMap<Name, Vec<(&Name, &Host)>> = BTreeMap::new();
-    for (name, host) in &fleet.hosts {
-        let group = match job.adjacency {
-            Adjacency::Worker => name.clone(),
-            Adjacency::Rack => host.rack.clone(),
-            Adjacency::Centre => host.centre.clone(),
-            Adjacency::Any => "".into(),
+/// How one try of packing looks at the workers.
+pub struct Search<'a> {
+    /// The gang.
+    pub job: &'a Job,
+    /// What a worker can give to it.
+    pub rest: &'a dyn Fn(usize, &Spot<'_>) -> Rest,
+    /// The guaranteed accelerators that no work within a guarantee holds.
+    pub open: &'a Open,
+    /// The workers that it should not use.
+    pub avoid: &'a dyn Fn(&Name) -> bool,
+}
+
+/// The guaranteed accelerators that no work within a guarantee holds, by their domain.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Open {
+    all: BTreeMap<Name, u32>,
+    own: BTreeMap<Name, u32>,
+}
+
+impl Open {
+    /// Sums up the open cells, those of `workspace` apart from the rest.
+    pub fn new(standing: &Standing, workspace: &Name) -> Self {
+        let mut open = Self::default();
+        for (owner, cells) in &standing.cells {
+            let map = match owner == workspace {
+                true => &mut open.own,
+                false => &mut open.all,
+            };
+            for cell in cells.iter().filter(|cell| !cell.place.is_empty()) {
+                let rest = cell.shape.accelerators - cell.used;
+                *map.entry(cell.place.clone()).or_insert(0) += rest;
+            }
+        }
+        open
+    }
+
+    /// Ranks a worker: its gang's own open shapes first, those of others last.
+    fn order(&self, spot: &Spot<'_>) -> u8 {
+        let sum = |map: &BTreeMap<Name, u32>| {
+            let by_worker = map.get(spot.name).copied().unwrap_or(0);
+            by_worker + map.get(&spot.host.rack).copied().unwrap_or(0)
         };
-        groups.entry(group).or_default().push((name, host));
+        match (sum(&self.own), sum(&self.all)) {
+            (1.., _) => 0,
+            (0, 0) => 1,
+            _ => 2,
+        }
     }
-    groups.values().find_map(|hosts| fill(hosts, job))
 }
 
-fn fill(hosts: &[(&Name, &Host)], job: &Job) -> Option<Vec<Slot>> {
-    let mut slots = Vec::new();
-    for (name, host) in hosts {
-        let mut free = host.free();
-        for _ in 0..host.room(job) {
+/// A domain that can take the whole gang.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The workers, in the order in which they are filled.
+    pub spots: Vec<usize>,
+    order: (u32, u64, u64),
+}
+
+/// Returns the domains that can take a gang, the best first.
+pub fn choices(board: &Board<'_>, search: &Search<'_>) -> Vec<Choice> {
+    let job = search.job;
+    let racks = rack_rests(board);
+    let groups = board.groups(job.adjacency);
+    let mut found: Vec<Choice> = groups
+        .into_iter()
+        .filter_map(|group| choice(board, search, &racks, group))
+        .collect();
+    found.sort_by_key(|choice| choice.order);
+    found
+}
+
+/// Fills a domain: a slot for each member.
+pub fn fill(board: &Board<'_>, search: &Search<'_>, choice: &Choice) -> Option<Vec<Slot>> {
+    let job = search.job;
+    let mut slots = Vec::with_capacity(job.members as usize);
+    for i in &choice.spots {
+        let spot = &board.spots[*i];
+        let rest = (search.rest)(*i, spot);
+        let mut mask = rest.mask;
+        for _ in 0..rest.room(job) {
             if slots.len() == job.members as usize {
                 return Some(slots);
             }
-            let mask = lowest(free, job.accelerators);
-            free &= !mask;
+            let part = lowest(mask, job.accelerators);
+            mask &= !part;
             slots.push(Slot {
-                worker: (*name).clone(),
-                mask,
+                worker: spot.name.clone(),
+                mask: part,
             });
         }
     }
@@ -53,3 +115,74 @@
     }
     mask
 }
+
+fn choice(
+    board: &Board<'_>,
+    search: &Search<'_>,
+    racks: &BTreeMap<&Name, u64>,
+    group: Vec<usize>,
+) -> Option<Choice> {
+    let job = search.job;
+    let mut room = 0_u64;
+    let mut left = 0_u64;
+    let mut keyed = Vec::new();
+    for i in group {
+        let spot = &board.spots[i];
+        if (search.avoid)(spot.name) {
+            continue;
+        }
+        let rest = (search.rest)(i, spot);
+        let here = rest.room(job);
+        if here == 0 {
+            continue;
+        }
+        room += u64::from(here);
+        left += u64::from(rest.mask.count_ones());
+        let in_rack = racks.get(&spot.host.rack).copied().unwrap_or(0);
+        let order = u32::from(search.open.order(spot));
+        keyed.push((order, in_rack, rest.mask.count_ones(), i));
+    }
+    if room < u64::from(job.members) {
+        return None;
+    }
+    keyed.sort_unstable();
+    let (worst, in_rack) = reach(&keyed, board, search);
+    let left = left.saturating_sub(u64::from(job.members) * u64::from(job.accelerators));
+    Some(Choice {
+        spots: keyed.into_iter().map(|(_, _, _, i)| i).collect(),
+        order: (worst, left, in_rack),
+    })
+}
+
+/// Returns the worst order among the workers that are filled, and the rest of the first's rack.
+fn reach(keyed: &[(u32, u64, u32, usize)], board: &Board<'_>, search: &Search<'_>) -> (u32, u64) {
+    let mut need = search.job.members;
+    let mut worst = 0;
+    for (order, _, _, i) in keyed {
+        if need == 0 {
+            break;
+        }
+        let rest = (search.rest)(*i, &board.spots[*i]);
+        need = need.saturating_sub(rest.room(search.job));
+        worst = worst.max(*order);
+    }
+    (worst, keyed.first().map_or(0, |first| first.1))
+}
+
+fn rack_rests<'a>(board: &Board<'a>) -> BTreeMap<&'a Name, u64> {
+    let mut racks = BTreeMap::new();
+    for spot in &board.spots {
+        let free = u64::from(spot.free.mask.count_ones());
+        *racks.entry(&spot.host.rack).or_insert(0) += free;
+    }
+    racks
+}
+
+/// Tells whether a shape fits on accelerators that are free now.
+pub fn shape_fits(board: &Board<'_>, accelerators: u32, adjacency: Adjacency) -> bool {
+    let groups = board.groups(adjacency);
+    groups.iter().any(|group| {
+        let free = group.iter().map(|i| board.spots[*i].free.mask.count_ones());
+        free.sum::<u32>() >= accelerators
+    })
+}
--- /dev/null
+++ b/src/reducer/plan/queue.rs
@@ -0,0 +1,65 @@
+//! The order of the queue: urgent work first, then by age and expected run time.
+
+use crate::configs::GangsConfig;
+use crate::model::Priority;
+use crate::prelude::*;
+use crate::reducer::ledger::Ledger;
+use crate::reducer::ledger::gangs::Gang;
+
+/// The place of a gang in the queue; lower goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank<'a> {
+    /// Its priority, which rises with its age; that of urgent work is 0 and no other's.
+    pub class: u64,
+    score: u64,
+    job: &'a Name,
+}
+
+/// Ranks a gang.
+///
+/// Within a priority, a gang is put back by a share of its expected run time that the weights
+/// give, but never by more than the ageing time, so that long work is not starved.
+pub fn rank<'a>(ledger: &Ledger, config: &GangsConfig, now_ms: u64, gang: &'a Gang) -> Rank<'a> {
+    let waited_ms = now_ms.saturating_sub(gang.submitted_ms);
+    let raised = waited_ms / config.age_ms.max(1);
+    let class = match priority(ledger, gang) {
+        Priority::Urgent => 0,
+        other => (other as u64).saturating_sub(raised).max(1),
+    };
+    let share = u64::from(ledger.catalog.weights().completion);
+    let left_ms = left_ms(ledger, gang);
+    let back_ms = (left_ms * share / 100).min(config.age_ms);
+    Rank {
+        class,
+        score: gang.submitted_ms + back_ms,
+        job: &gang.job.id,
+    }
+}
+
+/// Returns the priority of a gang's kind.
+pub fn priority(ledger: &Ledger, gang: &Gang) -> Priority {
+    let kind = ledger.catalog.kind(&gang.job.kind);
+    kind.map_or(Priority::Patient, |kind| kind.priority)
+}
+
+/// Estimates the run time that is left, in milliseconds.
+pub fn left_ms(ledger: &Ledger, gang: &Gang) -> u64 {
+    let whole_ms = ledger.gangs.learned.estimate_ms(&gang.job);
+    whole_ms.saturating_sub(gang.kept_ms)
+}
+
+/// Estimates when a gang that holds slots ends, in milliseconds of wall time.
+///
+/// One that has run for longer than expected is expected to run for as long again.
+pub fn end_ms(ledger: &Ledger, gang: &Gang, now_ms: u64) -> u64 {
+    let from_ms = match gang.started {
+        true => gang.start_ms,
+        false => now_ms,
+    };
+    let ran_ms = now_ms.saturating_sub(from_ms);
+    let left_ms = left_ms(ledger, gang);
+    match ran_ms < left_ms {
+        true => from_ms + left_ms,
+        false => now_ms + ran_ms,
+    }
+}
--- /dev/null
+++ b/src/reducer/plan/repack.rs
@@ -0,0 +1,186 @@
+//! Moves the cells of the standing assignment that no work covers, until no domain is overloaded.
+
+use super::standing::Cell;
+use super::standing::CellId;
+use super::standing::Standing;
+use super::standing::Step;
+use super::standing::domain;
+use crate::model::Adjacency;
+use crate::model::Shape;
+use crate::prelude::*;
+use crate::reducer::ledger::fleet::Fleet;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+/// The levels that a cell can be assigned to, the narrowest first.
+const LEVELS: [Adjacency; 3] = [Adjacency::Worker, Adjacency::Rack, Adjacency::Centre];
+
+/// Moves open cells away from overloaded domains; `false` if none of the tries helps.
+pub(super) fn relieve(standing: &mut Standing, fleet: &Fleet, steps: &mut Vec<Step>) -> bool {
+    if standing.loads.total > fleet.total() {
+        return false;
+    }
+    let Some(broken) = touched(standing, fleet, steps) else {
+        return true;
+    };
+    if move_from(standing, fleet, &broken, steps) && overloaded(standing, fleet).is_none() {
+        return true;
+    }
+    repack(standing, fleet, steps)
+}
+
+/// Assigns every cell that no work covers anew: the narrowest and largest first, each to the
+/// domain that it fits best.
+pub(super) fn repack(standing: &mut Standing, fleet: &Fleet, steps: &mut Vec<Step>) -> bool {
+    let mut open = open_cells(standing, |_| true);
+    for id in open.iter().map(|(_, id)| id) {
+        standing.shift(fleet, id, &"".into(), steps);
+    }
+    open.sort_by_key(|(shape, id)| (shape.adjacency, u32::MAX - shape.accelerators, id.clone()));
+    for (shape, id) in &open {
+        if shape.adjacency == Adjacency::Any {
+            continue;
+        }
+        let Some(to) = best_domain(standing, fleet, *shape) else {
+            return false;
+        };
+        standing.shift(fleet, id, &to, steps);
+    }
+    standing.loads.total <= fleet.total() && overloaded(standing, fleet).is_none()
+}
+
+/// Returns a domain that holds more than it can, if there is one.
+pub(super) fn overloaded(standing: &Standing, fleet: &Fleet) -> Option<Overload> {
+    LEVELS.iter().find_map(|level| {
+        let mut over = loads(standing, *level).iter();
+        let found = over.find(|(place, load)| **load > fleet.size(*level, place));
+        found.map(|(place, _)| Overload {
+            level: *level,
+            place: place.clone(),
+        })
+    })
+}
+
+/// As [`overloaded`], but looks only at the domains that the steps of a trial changed.
+fn touched(standing: &Standing, fleet: &Fleet, steps: &[Step]) -> Option<Overload> {
+    let mut places = BTreeSet::new();
+    for step in steps {
+        match step {
+            Step::Covered(cover) => {
+                for level in LEVELS {
+                    let place = domain(fleet, level, &cover.worker);
+                    places.extend(place.map(|place| (level, place)));
+                }
+            }
+            Step::Moved { id, .. } => {
+                let Some(cell) = standing.cell(id) else {
+                    continue;
+                };
+                for level in LEVELS {
+                    let place = around(fleet, cell, level);
+                    places.extend(place.map(|place| (level, place)));
+                }
+            }
+        }
+    }
+    let over = places.into_iter().find(|(level, place)| {
+        let load = loads(standing, *level).get(place).copied().unwrap_or(0);
+        load > fleet.size(*level, place)
+    });
+    over.map(|(level, place)| Overload { level, place })
+}
+
+/// A domain that holds more than it can.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Overload {
+    /// Its level.
+    pub(super) level: Adjacency,
+    /// Its name.
+    pub(super) place: Name,
+}
+
+fn move_from(
+    standing: &mut Standing,
+    fleet: &Fleet,
+    broken: &Overload,
+    steps: &mut Vec<Step>,
+) -> bool {
+    let inside = |cell: &Cell| {
+        !cell.place.is_empty()
+            && cell.shape.adjacency <= broken.level
+            && around(fleet, cell, broken.level).as_ref() == Some(&broken.place)
+    };
+    let mut open = open_cells(standing, inside);
+    open.sort_by_key(|(shape, id)| (shape.accelerators, id.clone()));
+    for (shape, id) in open {
+        let load = loads(standing, broken.level).get(&broken.place);
+        if load.copied().unwrap_or(0) <= fleet.size(broken.level, &broken.place) {
+            return true;
+        }
+        if let Some(to) = best_domain(standing, fleet, shape) {
+            standing.shift(fleet, &id, &to, steps);
+        }
+    }
+    let load = loads(standing, broken.level).get(&broken.place);
+    load.copied().unwrap_or(0) <= fleet.size(broken.level, &broken.place)
+}
+
+fn open_cells(standing: &Standing, test: impl Fn(&Cell) -> bool) -> Vec<(Shape, CellId)> {
+    let mut open = Vec::new();
+    for (workspace, cells) in &standing.cells {
+        for (i, cell) in cells.iter().enumerate() {
+            if cell.used == 0 && test(cell) {
+                let id = CellId {
+                    workspace: workspace.clone(),
+                    index: i as u32,
+                };
+                open.push((cell.shape, id));
+            }
+        }
+    }
+    open
+}
+
+/// Returns the domain with the least room that still takes a cell of `shape`; one with workers
+/// that cannot be used comes last.
+fn best_domain(standing: &Standing, fleet: &Fleet, shape: Shape) -> Option<Name> {
+    let need = shape.accelerators;
+    let room = |level: Adjacency, place: &Name| {
+        let load = loads(standing, level).get(place).copied().unwrap_or(0);
+        let size = fleet.size(level, place);
+        size.checked_sub(load).filter(|room| *room >= need)
+    };
+    let places = fleet.domains(shape.adjacency);
+    let fitting = places.filter_map(|place| {
+        let own = room(shape.adjacency, place)?;
+        let mut outer = own;
+        if shape.adjacency == Adjacency::Worker {
+            outer = room(Adjacency::Rack, &domain(fleet, Adjacency::Rack, place)?)?;
+            room(Adjacency::Centre, &domain(fleet, Adjacency::Centre, place)?)?;
+        }
+        if shape.adjacency == Adjacency::Rack {
+            room(Adjacency::Centre, &fleet.centre_of(place)?)?;
+        }
+        let weak = shape.adjacency == Adjacency::Worker
+            && fleet.hosts.get(place).is_some_and(|host| !host.usable());
+        Some(((weak, own, outer), place))
+    });
+    fitting.min().map(|(_, place)| place.clone())
+}
+
+fn around(fleet: &Fleet, cell: &Cell, level: Adjacency) -> Option<Name> {
+    match (cell.shape.adjacency, level) {
+        (own, level) if own == level => Some(cell.place.clone()),
+        (Adjacency::Worker, level) => domain(fleet, level, &cell.place),
+        (Adjacency::Rack, Adjacency::Centre) => fleet.centre_of(&cell.place),
+        _ => None,
+    }
+}
+
+fn loads(standing: &Standing, level: Adjacency) -> &BTreeMap<Name, u32> {
+    match level {
+        Adjacency::Worker => &standing.loads.workers,
+        Adjacency::Rack => &standing.loads.racks,
+        _ => &standing.loads.centres,
+    }
+}
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -240,8 +240,7 @@
         return;
     }
     state.planned_ms = now.mono_ms;
-    let queued = state.ledger.gangs.all.values();
-    if !queued.clone().any(|gang| gang.phase == Phase::Queued) {
+    if state.ledger.gangs.queued.is_empty() {
         state.waits_ms = None;
         return;
     }
@@ -253,7 +252,7 @@
     state
         .proposed
         .retain(|_, at_ms| *at_ms + PROPOSE_AGAIN_MS > now.mono_ms);
-    for entry in round::propose(&state.ledger, config.batch as usize) {
+    for entry in round::propose(&state.ledger, config, now.wall_ms) {
         let job = job_of(&entry);
         if let std::collections::btree_map::Entry::Vacant(e) = state.proposed.entry(job) {
             e.insert(now.mono_ms);
