--- a/tests/ctl_commands.rs
+++ b/tests/ctl_commands.rs
@@ -224,6 +224,9 @@
             "body":{"pool":"p","deadline_ms":1000}}"#,
         r#"{"schema":2,"change":"workspace","object":"workspace/w","replaces":0,
             "body":{"quota":8,"kinds":["k"]}}"#,
+        r#"{"schema":2,"change":"rack","object":"rack/r","replaces":0,"body":{"centre":"c",
+            "workers":[{"name":"worker-1","addr":"127.0.0.1:1","accelerators":8,"cores":8,
+            "memory_gb":8}]}}"#,
     ];
     let log = site.log();
     let vm = site.vm();
@@ -247,7 +250,7 @@
     let submitted = steps
         .iter()
         .find(|step| step["decision"] == "submit in force");
-    assert_eq!(Value::from(3), submitted.unwrap()["cfg"], "{steps:?}");
+    assert_eq!(Value::from(4), submitted.unwrap()["cfg"], "{steps:?}");
     let nothing = ctl(&["explain", "job-2", "--log", &log]).await;
     assert_eq!(Some(1), nothing.code);
 }
