feat(standins): let a runner name the request in a header and answer another request

The callers' side checks that an answer belongs to its request by X-Request-Id, so the runner echoes it, and a new switch makes it answer as if to another request, for the check that such an answer reaches nobody.

--- a/standins/tests/runner.rs
+++ b/standins/tests/runner.rs
@@ -49,6 +49,7 @@
         pad: String::new(),
     };
     assert_eq!(expected, answer.json().unwrap());
+    assert_eq!(Some("r1"), answer.header("x-request-id"));
     work(&client(), &runner, "r2").await.unwrap();
     let tally = runner.tally();
     assert_eq!(1, tally.of_request("r1"));
@@ -93,7 +94,7 @@
 
 #[tokio::test]
 async fn each_fault_has_its_effect() {
-    let cases: [(&str, Fault, u16, u64); 7] = [
+    let cases: [(&str, Fault, u16, u64); 8] = [
         ("leaving", |faults| faults.leaving = true, 503, 0),
         ("failing", |faults| faults.failing = true, 500, 0),
         ("truncated", |faults| faults.truncate = Dose::next(1), 0, 1),
@@ -109,6 +110,12 @@
             0,
             0,
         ),
+        (
+            "foreign",
+            |faults| faults.foreign = Dose::share(100),
+            200,
+            1,
+        ),
         ("late", |faults| faults.late_ms = 30, 200, 1),
         ("padded", |faults| faults.pad_bytes = 1_000_000, 200, 1),
     ];
@@ -119,6 +126,10 @@
         if name == "leaving" {
             assert_eq!(Some("true"), answer.as_ref().unwrap().header("x-leaving"));
         }
+        let own = answer
+            .as_ref()
+            .is_ok_and(|one| one.header("x-request-id") == Some("r"));
+        assert_eq!(status == 200 && name != "foreign", own, "{name}");
         assert_eq!(status, answer.map_or(0, |one| one.status), "{name}");
         assert_eq!(runs, runner.counts().runs, "{name}");
         runner.set(|faults| *faults = RunnerFaults::default());
