fix(core): decide nothing right after a pause, or while a live peer knows a newer configuration

Cause: readiness was won once and never lost. Until the log is read to its end and the list of VMs is read again (at most 3 s) it is not ready and sends nothing. A process that hears a higher configuration offset from a live peer for 1.5 s is not ready either.

--- a/src/bench/faults/network.rs
+++ b/src/bench/faults/network.rs
@@ -518,6 +518,7 @@
 
     fn wake(&mut self, vm: usize) {
         self.vms[vm].life = Life::Up;
+        self.step(vm, Event::Woke);
         for event in std::mem::take(&mut self.vms[vm].backlog) {
             self.step(vm, event);
         }
--- a/src/modules/engine.rs
+++ b/src/modules/engine.rs
@@ -22,6 +22,9 @@
 /// The time between two ticks, in milliseconds.
 const TICK_MS: u64 = 20;
 
+/// The time without a tick after which the process counts as paused, in milliseconds.
+const PAUSE_MS: u64 = 1_000;
+
 /// Carries out the effects of one kind.
 pub trait Carry: Send {
     /// Starts carrying out an effect; never waits.
@@ -132,12 +135,19 @@
         let clock = Clock::start();
         let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut last_ms = clock.now().mono_ms;
         loop {
             let input = tokio::select! {
                 input = inbox.inputs.recv() => input,
                 _ = ticks.tick() => Some(Input::Event(Event::Tick)),
             };
             let now = clock.now();
+            if now.mono_ms > last_ms + PAUSE_MS {
+                for effect in step(&ctx, &mut state, now, Event::Woke) {
+                    route(&mut ports, effect, &state);
+                }
+            }
+            last_ms = now.mono_ms;
             match input {
                 None => return,
                 Some(Input::Ask(question)) => question(&state, now),
--- a/src/modules/timings.rs
+++ b/src/modules/timings.rs
@@ -80,5 +80,6 @@
         Event::Peer(_) => "peer",
         Event::Synced { .. } => "synced",
         Event::Drain => "drain",
+        Event::Woke => "woke",
     }
 }
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -186,4 +186,6 @@
     },
     /// A planned stop began.
     Drain,
+    /// The process was paused for so long that what it knows may be out of date.
+    Woke,
 }
--- a/src/reducer/requests/sending.rs
+++ b/src/reducer/requests/sending.rs
@@ -36,6 +36,9 @@
 
     /// Sends queued requests, the most pressing first, while runners have room.
     pub(super) fn pump(&mut self, view: &View<'_>, effects: &mut Vec<Effect>) {
+        if !view.ready {
+            return;
+        }
         for pool in self.queues.pools() {
             while self.pump_one(view, &pool, effects) {}
         }
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -37,6 +37,11 @@
 /// The time in which the next VM in line puts a configuration in force, in milliseconds.
 const TOUCH_RANK_MS: u64 = 300;
 
+/// The time for which a process may know an older configuration than a live peer.
+const BEHIND_MS: u64 = 1_500;
+/// The longest wait for the list of VMs after a pause, in milliseconds.
+const LIST_WAIT_MS: u64 = 3_000;
+
 /// The control records between two hashes of the ledger.
 const DIGEST_EVERY: u64 = 1_000;
 
@@ -76,12 +81,16 @@
     planned_ms: u64,
     waits_ms: Option<u64>,
     touched_ms: Option<u64>,
+    woke_ms: Option<u64>,
+    behind_ms: Option<u64>,
+    behind: bool,
 }
 
 impl State {
     /// Tells whether this process may accept and decide.
     pub fn ready(&self) -> bool {
-        self.caught_up && self.ledger.catalog.too_new.is_none()
+        let current = self.caught_up && self.woke_ms.is_none() && !self.behind;
+        current && self.ledger.catalog.too_new.is_none()
     }
 
     /// Returns how many calls and requests are in progress.
@@ -111,7 +120,10 @@
             workspace,
             job,
         } => cancel(ctx, state, now, req, &workspace, job, &mut effects),
-        Event::Members { list } => state.peers.read_list(list),
+        Event::Members { list } => {
+            state.woke_ms = None;
+            state.peers.read_list(list);
+        }
         Event::Peer(beat) => peer(state, now, beat, &mut effects),
         Event::Synced { worker, answer } => {
             let ledger = &state.ledger;
@@ -119,6 +131,10 @@
             keeper.synced(ledger, &worker, answer.as_ref(), now, &mut effects);
         }
         Event::Drain => state.draining = true,
+        Event::Woke => {
+            state.caught_up = false;
+            state.woke_ms = Some(now.mono_ms);
+        }
         Event::Arrive(arrival) => {
             let (requests, view) = parts(ctx, state, now);
             requests.arrive(&view, arrival, &mut effects);
@@ -174,6 +190,7 @@
 }
 
 fn log_state(ctx: &Context, state: &mut State, up: bool, effects: &mut Vec<Effect>) {
+    state.caught_up |= up;
     if up == state.log_up {
         return;
     }
@@ -184,7 +201,6 @@
     let cfg = state.ledger.catalog.next;
     effects.push(Effect::Note(Note::new(kind, &ctx.writer, cfg)));
     state.log_up = up;
-    state.caught_up |= up;
 }
 
 fn control(
@@ -239,7 +255,20 @@
     state.peers.hear(beat, now);
 }
 
+/// Tells whether this process is out of date: behind a live peer for a while, or just awake.
+fn check_age(ctx: &Context, state: &mut State, now: Now) {
+    let own = state.staged.next.max(state.ledger.catalog.next);
+    let mut live = state.peers.live(ctx, now);
+    let ahead = live.any(|peer| peer.beat.cfg > own);
+    let since_ms = ahead.then(|| state.behind_ms.unwrap_or(now.mono_ms));
+    state.behind_ms = since_ms;
+    state.behind = since_ms.is_some_and(|at_ms| now.mono_ms >= at_ms + BEHIND_MS);
+    let waited = |at_ms: &u64| now.mono_ms < at_ms + LIST_WAIT_MS;
+    state.woke_ms = state.woke_ms.filter(waited);
+}
+
 fn tick(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
+    check_age(ctx, state, now);
     touch(ctx, state, now, effects);
     match ctx.process {
         Process::Entry => {
@@ -366,7 +395,8 @@
         Some(_) => None,
     };
     if let Some((status, code)) = refused {
-        refuse(state, &req, status, code, Ran::No, None, effects);
+        let retry_ms = (status == 503).then_some(1_000);
+        refuse(state, &req, status, code, Ran::No, retry_ms, effects);
         return;
     }
     let call = JobCall {
