fix(core): a process cut off from the log and from every peer is not ready

A log outage alone must not stop idempotent work, so the log alone was ruled out as the sign; a process that neither reaches the log nor hears any of the peers that it should have is not ready after 1.5 s.

--- a/src/bench/faults/checkers.rs
+++ b/src/bench/faults/checkers.rs
@@ -246,8 +246,8 @@
         }
     }
 
-    /// Checks what only the end of a run shows.
-    pub fn finish(&mut self, world: &World) {
+    /// Checks what only the end of a run shows; tells whether two changes raced.
+    pub fn finish(&mut self, world: &World) -> bool {
         self.finish_calls(&world.calls, &world.runners, world.now_ms);
         self.finish_leaving(&world.sent, world.left_ms);
         let next = world.log.config.len() as Offset;
@@ -258,7 +258,7 @@
                 self.broken(Finding::new(Promise::Configuration, text));
             }
         }
-        self.finish_race(world);
+        self.finish_race(world)
     }
 
     /// Checks the calls against what the runners did.
@@ -337,19 +337,22 @@
         }
     }
 
-    fn finish_race(&mut self, world: &World) {
+    /// Checks that one of two racing changes won; tells whether both were ruled on.
+    fn finish_race(&mut self, world: &World) -> bool {
         let Some(from) = world.race_from else {
-            return;
+            return false;
         };
         let ruled = &world.log.truth.catalog.ruled;
         let racing = ruled
             .iter()
             .filter(|one| one.offset == from || one.offset == from + 1);
         let won = racing.clone().filter(|one| one.refused.is_empty()).count();
-        if racing.count() == 2 && won != 1 {
+        let both = racing.count() == 2;
+        if both && won != 1 {
             let text = format!("{won} of two racing changes are in force");
             self.broken(Finding::new(Promise::Configuration, text));
         }
+        both
     }
 
     fn enforced(&mut self, now_ms: u64, from: Offset, next: Offset) {
--- a/src/bench/faults/fault.rs
+++ b/src/bench/faults/fault.rs
@@ -2,6 +2,7 @@
 
 use super::plan::CONFIG_AGAIN;
 use super::plan::CONFIG_RACING;
+use super::plan::MAIN_JOB;
 use super::vm::Life;
 use super::world::World;
 use crate::prelude::*;
@@ -113,6 +114,11 @@
     let now_ms = world.now_ms;
     let end_ms = now_ms + FAULT_MS;
     let open = world.vms[subject].is_up();
+    let entry = if subject < 2 { subject } else { 0 };
+    let placer = match subject {
+        0 | 1 => world.proposer(MAIN_JOB).unwrap_or(2),
+        _ => subject,
+    };
     match fault {
         Fault::Kill => {
             world.kill(subject, now_ms + DOWN_MS);
@@ -134,15 +140,15 @@
             world.vms[subject].cuts.peers_out = end_ms;
             world.vms[subject].cuts.peers_in = end_ms;
         }
-        Fault::CutWorkersIn => world.vms[subject].cuts.workers_in = end_ms,
+        Fault::CutWorkersIn => world.vms[placer].cuts.workers_in = end_ms,
         Fault::CutWorkers => {
-            world.vms[subject].cuts.workers_out = end_ms;
-            world.vms[subject].cuts.workers_in = end_ms;
+            world.vms[placer].cuts.workers_out = end_ms;
+            world.vms[placer].cuts.workers_in = end_ms;
         }
-        Fault::CutRunnersIn => world.vms[subject].cuts.runners_in = end_ms,
+        Fault::CutRunnersIn => world.vms[entry].cuts.runners_in = end_ms,
         Fault::CutRunners => {
-            world.vms[subject].cuts.runners_out = end_ms;
-            world.vms[subject].cuts.runners_in = end_ms;
+            world.vms[entry].cuts.runners_out = end_ms;
+            world.vms[entry].cuts.runners_in = end_ms;
         }
         Fault::WorkerFreeze => world.workers[worker].frozen_ms = end_ms,
         Fault::WorkerKill => {
--- a/src/bench/faults/gangs.rs
+++ b/src/bench/faults/gangs.rs
@@ -157,8 +157,8 @@
 
 /// Names a guaranteed shape that could not be had by stopping what may be stopped.
 ///
-/// An oracle for small fleets of its own: it tries all assignments, and shares no code with the
-/// policy.
+/// An oracle for small fleets that shares no code with the policy: it tries every group for each
+/// shape, the closest shapes first, whose members no wider shape can do without.
 pub fn lacking_shape(ledger: &Ledger) -> Option<String> {
     let mut room: BTreeMap<Name, u32> = BTreeMap::new();
     for (name, host) in &ledger.fleet.hosts {
@@ -175,6 +175,7 @@
             shapes.extend(std::iter::repeat_n(one.shape, one.count as usize));
         }
     }
+    shapes.sort_by_key(|shape| shape.adjacency);
     match assign(ledger, &room, &shapes) {
         true => None,
         false => Some(format!("no room for {shapes:?} by stops, only {room:?}")),
--- a/src/bench/faults/matrix.rs
+++ b/src/bench/faults/matrix.rs
@@ -143,7 +143,9 @@
         }
     }
     let mut checks = std::mem::take(&mut world.checks);
-    checks.finish(&world);
+    if checks.finish(&world) {
+        world.hit(Fault::RacingOperators);
+    }
     Run {
         reached: struck_ms.is_some(),
         hits: std::mem::take(&mut world.hits),
--- a/src/bench/faults/network.rs
+++ b/src/bench/faults/network.rs
@@ -547,5 +547,6 @@
         let lost = self.now_ms < self.vms[vm].cuts.reads;
         self.hit_if(Fault::CutLogReads, lost);
         self.hit_if(Fault::CutLog, lost);
+        self.hit_if(Fault::LogOutage, self.log.is_down(self.now_ms));
     }
 }
--- a/src/bench/faults/plan.rs
+++ b/src/bench/faults/plan.rs
@@ -45,7 +45,7 @@
     r#"{"schema":2,"change":"b6","object":"rack/rack-2","replaces":0,"body":{"centre":"c1","workers":[{"name":"worker-3","addr":"127.0.0.1:13","accelerators":4,"cores":64,"memory_gb":64},{"name":"worker-4","addr":"127.0.0.1:14","accelerators":4,"cores":64,"memory_gb":64}]}}"#,
     r#"{"schema":2,"change":"b7","object":"workspace/owner","replaces":0,"body":{"guarantees":[{"accelerators":8,"adjacency":"rack"}],"quota":16,"kinds":["check","invoice","ledger"]}}"#,
 ];
-const BORROWER: &str = r#"{"schema":2,"change":"b8","object":"workspace/borrower","replaces":0,"body":{"quota":12,"kinds":["check","invoice","ledger"]}}"#;
+const BORROWER: &str = r#"{"schema":2,"change":"b8","object":"workspace/borrower","replaces":0,"body":{"guarantees":[{"accelerators":4,"adjacency":"any"}],"quota":12,"kinds":["check","invoice","ledger"]}}"#;
 const WEIGHTS: &str =
     r#"{"schema":1,"change":"w","object":"weights/main","replaces":0,"body":{"completion":70}}"#;
 
--- a/src/bench/faults/world.rs
+++ b/src/bench/faults/world.rs
@@ -279,7 +279,8 @@
         let slot = gang.and_then(|gang| gang.slots.first());
         let mut workers = self.workers.iter();
         let at = slot.and_then(|slot| workers.position(|one| one.name == slot.worker));
-        at.unwrap_or(0)
+        let busy = || self.workers.iter().position(|one| !one.tasks.is_empty());
+        at.or_else(busy).unwrap_or(0)
     }
 
     /// Notes a proposal.
@@ -350,9 +351,19 @@
             addr: "127.0.0.1:1".into(),
             leaving: leaving && *runner.name == *LEAVER,
         });
+        let own = self.vms.iter().map(|vm| Member {
+            name: vm.ctx.settings.vm.clone(),
+            role: match vm.ctx.process {
+                Process::Entry => Role::Entry,
+                Process::Placer => Role::Placer,
+            },
+            centre: "c1".into(),
+            addr: "127.0.0.1:1".into(),
+            leaving: false,
+        });
         Listed {
             revision: 1 + u64::from(leaving),
-            vms: runners.collect(),
+            vms: runners.chain(own).collect(),
         }
     }
 
--- a/src/reducer/peers.rs
+++ b/src/reducer/peers.rs
@@ -3,6 +3,7 @@
 use super::event::Heartbeat;
 use super::event::Now;
 use crate::context::Context;
+use crate::context::Process;
 use crate::platform::Member;
 use crate::platform::Role;
 use crate::prelude::*;
@@ -61,6 +62,17 @@
         peers.filter(move |peer| now.mono_ms < peer.heard_ms + silent_ms)
     }
 
+    /// Tells whether there should be other processes of this kind.
+    pub fn expected(&self, ctx: &Context) -> bool {
+        let role = match ctx.process {
+            Process::Entry => Role::Entry,
+            Process::Placer => Role::Placer,
+        };
+        let mut list = self.list.iter();
+        let listed = list.any(|vm| vm.role == role && vm.name != ctx.settings.vm);
+        listed || !self.all.is_empty()
+    }
+
     /// Returns this process's place in the line for `topic`, 0 for the first.
     ///
     /// The line is ordered by rendezvous hashing (Thaler and Ravishankar, 1998) over the live
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -37,7 +37,8 @@
 /// The time in which the next VM in line puts a configuration in force, in milliseconds.
 const TOUCH_RANK_MS: u64 = 300;
 
-/// The time for which a process may know an older configuration than a live peer.
+/// The time for which a process may know an older configuration than a live peer, or neither
+/// reach the log nor hear a peer, in milliseconds.
 const BEHIND_MS: u64 = 1_500;
 /// The longest wait for the list of VMs after a pause, in milliseconds.
 const LIST_WAIT_MS: u64 = 3_000;
@@ -255,12 +256,15 @@
     state.peers.hear(beat, now);
 }
 
-/// Tells whether this process is out of date: behind a live peer for a while, or just awake.
+/// Tells whether this process may be out of date: behind a live peer or cut off from the log and
+/// every peer for a while, or just awake.
 fn check_age(ctx: &Context, state: &mut State, now: Now) {
     let own = state.staged.next.max(state.ledger.catalog.next);
     let mut live = state.peers.live(ctx, now);
     let ahead = live.any(|peer| peer.beat.cfg > own);
-    let since_ms = ahead.then(|| state.behind_ms.unwrap_or(now.mono_ms));
+    let alone = !state.log_up && state.peers.live(ctx, now).next().is_none();
+    let unsure = ahead || (alone && state.peers.expected(ctx));
+    let since_ms = unsure.then(|| state.behind_ms.unwrap_or(now.mono_ms));
     state.behind_ms = since_ms;
     state.behind = since_ms.is_some_and(|at_ms| now.mono_ms >= at_ms + BEHIND_MS);
     let waited = |at_ms: &u64| now.mono_ms < at_ms + LIST_WAIT_MS;
