--- a/src/bench/faults/call.rs
+++ b/src/bench/faults/call.rs
@@ -15,6 +15,8 @@
         key: Option<Name>,
         /// How long it runs, in milliseconds.
         run_ms: u64,
+        /// The time that the caller gives it, in milliseconds.
+        deadline_ms: Option<u64>,
     },
     /// To accept a gang.
     Submit {
@@ -82,10 +84,19 @@
             kind: kind.into(),
             key: key.map(Into::into),
             run_ms,
+            deadline_ms: None,
         };
         Self::new(req, vm, ask)
     }
 
+    /// Gives a request this time, in milliseconds.
+    pub fn within(mut self, limit_ms: u64) -> Self {
+        if let Ask::Request { deadline_ms, .. } = &mut self.ask {
+            *deadline_ms = Some(limit_ms);
+        }
+        self
+    }
+
     /// Returns the key of a request.
     pub fn key(&self) -> Option<&Name> {
         match &self.ask {
--- a/src/bench/faults/fault.rs
+++ b/src/bench/faults/fault.rs
@@ -6,6 +6,7 @@
 use super::vm::Life;
 use super::world::World;
 use crate::prelude::*;
+use serde::Deserialize;
 use serde::Serialize;
 
 /// How long a fault lasts, in milliseconds; longer than any lease here.
@@ -14,7 +15,7 @@
 pub const DOWN_MS: u64 = 1_000;
 
 /// Something that fails.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// A process dies at once, and comes again with nothing.
--- a/src/bench/faults/plan.rs
+++ b/src/bench/faults/plan.rs
@@ -93,6 +93,12 @@
             world.at(at_ms + 3, Act::Call { call: again });
         }
     }
+    for i in 0..LOAD_FOR_MS / 500 {
+        let key = format!("hasty-{i}");
+        let call = Call::request(&key, (i % 2) as usize, "invoice", Some(&key), 100);
+        let call = call.within(4 + 8 * (i % 4));
+        world.at(LOAD_MS + 120 + i * 500, Act::Call { call });
+    }
     if step == Step::Queued {
         for i in 0..9 {
             let call = Call::request(&format!("fill-{i}"), 0, "check", None, 900);
--- a/src/bench/faults/steps.rs
+++ b/src/bench/faults/steps.rs
@@ -14,6 +14,7 @@
 use crate::reducer::ledger::gangs::After;
 use crate::reducer::ledger::gangs::Ending;
 use crate::reducer::ledger::gangs::Phase;
+use serde::Deserialize;
 use serde::Serialize;
 
 /// What goes through steps.
@@ -32,7 +33,7 @@
 macro_rules! steps {
     ($($class:ident: $($name:ident $text:literal,)*;)*) => {
         /// A step.
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
         #[serde(rename_all = "snake_case")]
         pub enum Step {
             $($(#[doc = $text] $name,)*)*
