feat(config): check only what a change touches, and refuse what is in use

Every accepted change cloned all objects and checked all references again. Since each accepted state is sound, only the references from and to the changed object can break; they are checked now (references.rs), the object is set in place and put back if a guarantee fails, and guarantee::can_promise runs only for racks and for changed guarantees. New refusals: a worker that another rack holds, a name twice in a list, a quota below what is guaranteed, the removal of a pool, kind or workspace in use (jobs that have not ended count) or of nothing, and a record that leaves out its body, which removed the object silently. A removed rack is drained, as before. At most 32 findings of a record are remembered, so that one record cannot fill the ledger.

View gains the gangs (in ledger/mod.rs).

--- a/src/findings.rs
+++ b/src/findings.rs
@@ -37,6 +37,15 @@
         });
     }
 
+    /// Keeps the first `most` findings and says how many more there were.
+    pub fn shorten(&mut self, most: usize) {
+        let more = self.list.len().saturating_sub(most);
+        if more > 0 {
+            self.list.truncate(most);
+            self.add("", format!("{more} more findings are not listed"));
+        }
+    }
+
     /// Tells whether nothing is wrong.
     pub fn is_empty(&self) -> bool {
         self.list.is_empty()
--- a/src/reducer/ledger/catalog.rs
+++ b/src/reducer/ledger/catalog.rs
@@ -6,6 +6,8 @@
 use super::change::Class;
 use super::change::Rejected;
 use super::fleet::Fleet;
+use super::gangs::Gangs;
+use super::references;
 use crate::model::Kind;
 use crate::model::Object;
 use crate::model::Pool;
@@ -23,6 +25,8 @@
 
 /// The most verdicts on changes that are remembered.
 pub const RULED_MAX: usize = 4_096;
+/// The most findings of one record that are remembered.
+pub const FINDINGS_MAX: usize = 32;
 
 /// An object with its version: the configuration offset in force right after its last change.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -55,6 +59,8 @@
 pub struct View<'a> {
     /// The workers.
     pub fleet: &'a Fleet,
+    /// The gangs.
+    pub gangs: &'a Gangs,
 }
 
 /// All objects in force.
@@ -154,6 +160,7 @@
                     .unwrap_or_default();
             }
         }
+        ruled.refused.shorten(FINDINGS_MAX);
         if self.ruled.len() >= RULED_MAX {
             self.ruled.pop_front();
         }
@@ -187,30 +194,53 @@
             );
             return Err(Findings::one("/replaces", text));
         }
-        let mut next = self.clone_objects();
-        next.set(change.class, &change.name, change.object, version);
-        next.check(view)?;
-        next.next = self.next;
-        next.ruled = std::mem::take(&mut self.ruled);
-        next.too_new = self.too_new;
-        *self = next;
-        Ok(())
+        let mut findings = references::check(self, &change, view);
+        let Change {
+            class,
+            name,
+            object,
+            ..
+        } = change;
+        let reshapes = class == Class::Rack || self.reshapes(class, &name, object.as_ref());
+        let before = self.get(class, &name);
+        let rack_changes = self.rack_changes;
+        self.set(class, &name, object, version);
+        if reshapes && let Err(text) = guarantee::can_promise(self, view.fleet) {
+            findings.add("guarantees", text);
+        }
+        if findings.is_empty() {
+            return Ok(());
+        }
+        let (object, version) = match before {
+            Some(held) => (Some(held.value), held.version),
+            None => (None, 0),
+        };
+        self.set(class, &name, object, version);
+        self.rack_changes = rack_changes;
+        Err(findings)
     }
 
-    fn clone_objects(&self) -> Self {
-        Self {
-            next: self.next,
-            workspaces: self.workspaces.clone(),
-            kinds: self.kinds.clone(),
-            pools: self.pools.clone(),
-            racks: self.racks.clone(),
-            weights: self.weights.clone(),
-            ruled: VecDeque::new(),
-            too_new: None,
-            rack_changes: self.rack_changes,
+    /// Returns a copy of an object.
+    fn get(&self, class: Class, name: &str) -> Option<Held<Object>> {
+        match class {
+            Class::Workspace => copy(self.workspaces.get(name), Object::Workspace),
+            Class::Kind => copy(self.kinds.get(name), Object::Kind),
+            Class::Pool => copy(self.pools.get(name), Object::Pool),
+            Class::Rack => copy(self.racks.get(name), Object::Rack),
+            Class::Weights => copy(self.weights.as_ref(), Object::Weights),
         }
     }
 
+    /// Tells whether an object changes what is guaranteed.
+    fn reshapes(&self, class: Class, name: &str, object: Option<&Object>) -> bool {
+        let next = match object {
+            Some(Object::Workspace(next)) => next.guarantees.as_slice(),
+            _ => &[],
+        };
+        let present = self.workspace(name).map(|held| held.guarantees.as_slice());
+        class == Class::Workspace && present.unwrap_or_default() != next
+    }
+
     fn set(&mut self, class: Class, name: &Name, object: Option<Object>, version: Offset) {
         if class == Class::Rack {
             self.rack_changes += 1;
@@ -234,33 +264,13 @@
             Class::Weights => self.weights = None,
         }
     }
+}
 
-    /// Checks what no single object shows: references, and that the guarantees can be held.
-    fn check(&self, view: &View<'_>) -> std::result::Result<(), Findings> {
-        let mut findings = Findings::default();
-        for held in self.kinds.values() {
-            let pool = &held.value.pool;
-            if !self.pools.contains_key(pool) {
-                let place = format!("kind/{}/pool", held.value.name);
-                findings.add(place, format!("there is no pool {pool}"));
-            }
-        }
-        for held in self.workspaces.values() {
-            for kind in &held.value.kinds {
-                if !self.kinds.contains_key(kind) {
-                    let place = format!("workspace/{}/kinds", held.value.name);
-                    findings.add(place, format!("there is no kind {kind}"));
-                }
-            }
-        }
-        if let Err(text) = guarantee::can_promise(self, view.fleet) {
-            findings.add("guarantees", text);
-        }
-        match findings.is_empty() {
-            true => Ok(()),
-            false => Err(findings),
-        }
-    }
+fn copy<T: Clone>(held: Option<&Held<T>>, wrap: impl Fn(T) -> Object) -> Option<Held<Object>> {
+    held.map(|held| Held {
+        version: held.version,
+        value: wrap(held.value.clone()),
+    })
 }
 
 /// Returns the path of an object, such as `workspace/scoring`.
--- a/src/reducer/ledger/change.rs
+++ b/src/reducer/ledger/change.rs
@@ -18,6 +18,7 @@
 use crate::model::Workspace;
 use crate::prelude::*;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// The newest schema that this version reads.
@@ -122,12 +123,19 @@
 fn read_change(value: &Value, findings: &mut Findings) -> Option<Change> {
     let mut fields = Fields::open(value, "", findings)?;
     let schema = fields.number("schema", 1..=SCHEMA_MAX, findings);
+    let known = findings.is_empty();
     let id = fields.name("change", findings);
     let replaces = fields.number("replaces", 0..=u64::MAX, findings);
     let path = fields.text("object", findings);
     let body = fields.raw("body");
+    if value.get("body").is_none() {
+        findings.add("/body", "is missing: an object, or null to remove it");
+    }
     fields.finish(findings);
     let (class, name) = read_path(&path, findings)?;
+    if !known {
+        return None;
+    }
     let object = match body {
         Some(body) => Some(read_object(schema, class, &name, body, findings)?),
         None => None,
@@ -194,13 +202,16 @@
     };
     let quota = fields.number("quota", 0..=COUNT_MAX, findings) as u32;
     let mut kinds = Vec::new();
+    let mut seen = BTreeSet::new();
     for (place, kind) in fields.list("kinds", ITEMS_MAX, findings) {
         let Some(kind) = kind.as_str() else {
             findings.add(place, "must be the name of a kind");
             continue;
         };
         check_name(kind, &place, findings);
-        kinds.push(kind.into());
+        let kind: Name = kind.into();
+        check_first(&mut seen, &kind, &place, findings);
+        kinds.push(kind);
     }
     Workspace {
         name: name.clone(),
@@ -277,16 +288,19 @@
         connections: fields.number_or("connections", 60, 1..=65_536, findings) as u32,
         runners: Vec::new(),
     };
+    let mut seen = BTreeSet::new();
     for (place, value) in fields.list("runners", ITEMS_MAX, findings) {
         let Some(mut inner) = Fields::open(value, &place, findings) else {
             continue;
         };
-        pool.runners.push(Runner {
+        let runner = Runner {
             name: inner.name("name", findings),
             centre: inner.name("centre", findings),
             addr: read_addr(&mut inner, findings),
-        });
+        };
+        check_first(&mut seen, &runner.name, &inner.place("name"), findings);
         inner.finish(findings);
+        pool.runners.push(runner);
     }
     pool
 }
@@ -297,22 +311,32 @@
         centre: fields.name("centre", findings),
         workers: Vec::new(),
     };
+    let mut seen = BTreeSet::new();
     for (place, value) in fields.list("workers", ITEMS_MAX, findings) {
         let Some(mut inner) = Fields::open(value, &place, findings) else {
             continue;
         };
-        rack.workers.push(Worker {
+        let worker = Worker {
             name: inner.name("name", findings),
             addr: read_addr(&mut inner, findings),
             accelerators: inner.number("accelerators", 0..=64, findings) as u32,
             cores: inner.number("cores", 0..=COUNT_MAX, findings) as u32,
             memory_gb: inner.number("memory_gb", 0..=COUNT_MAX, findings) as u32,
-        });
+        };
+        check_first(&mut seen, &worker.name, &inner.place("name"), findings);
         inner.finish(findings);
+        rack.workers.push(worker);
     }
     rack
 }
 
+/// Checks that a name of a list stands there for the first time.
+fn check_first(seen: &mut BTreeSet<Name>, name: &Name, place: &str, findings: &mut Findings) {
+    if !name.is_empty() && !seen.insert(name.clone()) {
+        findings.add(place, format!("{name} stands twice in the list"));
+    }
+}
+
 fn read_addr(fields: &mut Fields<'_>, findings: &mut Findings) -> Name {
     let text = fields.text("addr", findings);
     if text.parse::<SocketAddr>().is_err() {
--- a/src/reducer/ledger/mod.rs
+++ b/src/reducer/ledger/mod.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod gangs;
 pub mod pairs;
+mod references;
 
 use crate::prelude::*;
 use crate::records::Batch;
@@ -176,7 +177,10 @@
                 break;
             }
             if record.offset >= self.catalog.next {
-                let view = catalog::View { fleet: &self.fleet };
+                let view = catalog::View {
+                    fleet: &self.fleet,
+                    gangs: &self.gangs,
+                };
                 changes.push(self.catalog.rule(record, self.next - 1, &view));
                 self.fleet.follow(&self.catalog);
             }
