--- a/src/reducer/ledger/catalog.rs
+++ b/src/reducer/ledger/catalog.rs
@@ -84,6 +84,8 @@
     pub too_new: Option<Offset>,
     /// Counts the changes of racks.
     pub rack_changes: u64,
+    /// Counts the changes of racks and of guarantees.
+    pub shape_changes: u64,
 }
 
 impl Catalog {
@@ -201,11 +203,12 @@
             object,
             ..
         } = change;
-        let reshapes = class == Class::Rack || self.reshapes(class, &name, object.as_ref());
         let before = self.get(class, &name);
-        let rack_changes = self.rack_changes;
+        let counts = (self.rack_changes, self.shape_changes);
         self.set(class, &name, object, version);
-        if reshapes && let Err(text) = guarantee::can_promise(self, view.fleet) {
+        if !view.gangs.follows(self.shape_changes)
+            && let Err(text) = guarantee::can_promise(self, view.fleet, view.gangs)
+        {
             findings.add("guarantees", text);
         }
         if findings.is_empty() {
@@ -216,7 +219,7 @@
             None => (None, 0),
         };
         self.set(class, &name, object, version);
-        self.rack_changes = rack_changes;
+        (self.rack_changes, self.shape_changes) = counts;
         Err(findings)
     }
 
@@ -231,20 +234,13 @@
         }
     }
 
-    /// Tells whether an object changes what is guaranteed.
-    fn reshapes(&self, class: Class, name: &str, object: Option<&Object>) -> bool {
-        let next = match object {
-            Some(Object::Workspace(next)) => next.guarantees.as_slice(),
-            _ => &[],
-        };
-        let present = self.workspace(name).map(|held| held.guarantees.as_slice());
-        class == Class::Workspace && present.unwrap_or_default() != next
-    }
-
     fn set(&mut self, class: Class, name: &Name, object: Option<Object>, version: Offset) {
         if class == Class::Rack {
             self.rack_changes += 1;
         }
+        if class == Class::Rack || self.reshapes(class, name, object.as_ref()) {
+            self.shape_changes += 1;
+        }
         match object {
             Some(Object::Workspace(value)) => put(&mut self.workspaces, name, value, version),
             Some(Object::Kind(value)) => put(&mut self.kinds, name, value, version),
@@ -255,6 +251,16 @@
         }
     }
 
+    /// Tells whether an object changes what is guaranteed.
+    fn reshapes(&self, class: Class, name: &str, object: Option<&Object>) -> bool {
+        let next = match object {
+            Some(Object::Workspace(next)) => next.guarantees.as_slice(),
+            _ => &[],
+        };
+        let present = self.workspace(name).map(|held| held.guarantees.as_slice());
+        class == Class::Workspace && present.unwrap_or_default() != next
+    }
+
     fn remove(&mut self, class: Class, name: &Name) {
         match class {
             Class::Workspace => drop(self.workspaces.remove(name)),
--- a/src/reducer/ledger/mod.rs
+++ b/src/reducer/ledger/mod.rs
@@ -183,6 +183,7 @@
                 };
                 changes.push(self.catalog.rule(record, self.next - 1, &view));
                 self.fleet.follow(&self.catalog);
+                gangs::follow_catalog(self);
             }
             staged.records.pop_front();
         }
