--- a/src/ctl/publish.rs
+++ b/src/ctl/publish.rs
@@ -82,8 +82,8 @@
     change: Name,
     object: String,
     offset: Offset,
-    /// The version to name in the next change of this object.
-    version: Offset,
+    /// The version to name in the next change of this object, unless this one was refused.
+    version: Option<Offset>,
     places: Vec<Place>,
 }
 
@@ -162,13 +162,16 @@
 impl Publisher {
     async fn publish(&self, record: &Record) -> Result<Report> {
         let offset = self.append(record).await?;
+        let places = self.wait(&record.change.id, offset).await;
+        let mut seen = places.iter().map(|place| &place.seen);
+        let refused = seen.any(|seen| matches!(seen, Seen::Refused(_)));
         Ok(Report {
             file: record.file.clone(),
             change: record.change.id.clone(),
             object: path(record.change.class, &record.change.name),
             offset,
-            version: offset + 1,
-            places: self.wait(&record.change.id, offset).await,
+            version: (!refused).then_some(offset + 1),
+            places,
         })
     }
 
@@ -255,9 +258,13 @@
 }
 
 fn print(report: &Report) {
+    let next = match report.version {
+        Some(version) => format!("; the next change of {} replaces {version}", report.object),
+        None => String::new(),
+    };
     println!(
-        "{}: {} is record {} of the log; the next change of {} replaces {}",
-        report.file, report.change, report.offset, report.object, report.version
+        "{}: {} is record {} of the log{next}",
+        report.file, report.change, report.offset
     );
     for place in &report.places {
         let text = match &place.seen {
--- a/src/ctl/steps.rs
+++ b/src/ctl/steps.rs
@@ -7,6 +7,7 @@
 use crate::records::Batch;
 use crate::records::CONTROL_SCHEMA;
 use crate::records::Entry;
+use crate::records::Outcome;
 use crate::reducer::ledger::Applied;
 use crate::reducer::ledger::Ledger;
 use crate::reducer::ledger::Ruling;
@@ -251,7 +252,7 @@
             key,
             ..
         } => format!("{req} claims key {key} of {workspace} for {kind}"),
-        Entry::Settle { req, outcome, .. } => format!("{req}: {outcome:?}"),
+        Entry::Settle { req, outcome, .. } => format!("{req} {}", outcome_text(outcome)),
         Entry::Submit { job } => format!(
             "{} of {}: {} members of {} accelerators",
             job.kind, job.workspace, job.members, job.accelerators
@@ -282,6 +283,17 @@
     }
 }
 
+fn outcome_text(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Done(kept) if kept.body.is_some() => {
+            format!("ran: status {}, its answer is kept", kept.status)
+        }
+        Outcome::Done(kept) => format!("ran: status {}, its answer is not kept", kept.status),
+        Outcome::NotRun => "did not run".to_owned(),
+        Outcome::Unknown => "may have run".to_owned(),
+    }
+}
+
 /// Adds the events of `ids`; one that several processes saw is one step.
 fn read_audit(audit: &Stream, ids: &BTreeSet<Name>, steps: &mut Steps) {
     if audit.first > 0 {
