--- a/src/reducer/ledger/gangs.rs
+++ b/src/reducer/ledger/gangs.rs
@@ -116,6 +116,8 @@
     pub start_ms: u64,
     /// The ledger's clock at its submission, in milliseconds.
     pub submitted_ms: u64,
+    /// The control offset of its submission.
+    pub offset: Offset,
     /// The ledger's clock when its phase last changed, in milliseconds.
     pub since_ms: u64,
     /// The configuration offset in force at its last change of phase.
--- a/src/reducer/ledger/gangs/placing.rs
+++ b/src/reducer/ledger/gangs/placing.rs
@@ -49,6 +49,7 @@
         failed_on: BTreeSet::new(),
         start_ms: 0,
         submitted_ms: origin.at_ms,
+        offset: origin.offset,
         since_ms: origin.at_ms,
         cfg: origin.cfg,
         waiter: None,
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -2,10 +2,13 @@
 
 pub mod effect;
 pub mod event;
+pub mod jobs;
 pub mod keeper;
 pub mod ledger;
+mod notes;
 pub mod peers;
 pub mod plan;
+mod proposals;
 pub mod requests;
 mod step;
 
