test(process): serve each kind and a gang over 7 VMs while one of them dies

14 real processes with settings files of their own run beside the stand-ins; 28 callers send each of the 7 kinds while both processes of one VM are killed, and the callers who lost their connection ask another VM with the same key. The check compares what every caller was told with what the upstreams executed: own digest and identifier, refusals that say not run, keys that ran twice, gangs that ran in part. It is shown planted violations of each.

Each VM has a loopback address of its own, so that a probed port is not taken by another process before the VM binds it.

--- /dev/null
+++ b/tests/process_path.rs
@@ -0,0 +1,143 @@
+//! The whole path with real processes: requests of each kind and a gang, while a VM dies.
+
+#[expect(dead_code, reason = "other tests use the rest of the helpers")]
+mod support;
+
+use futures_util::future::join_all;
+use serde_json::json;
+use support::Fleet;
+use support::calls::Call;
+use support::calls::Outcome;
+use support::calls::Refused;
+use support::calls::Told;
+use support::calls::doubled;
+use support::calls::lies;
+use support::vm::send_signal;
+use trefoilgauge_standins::runner::digest;
+use trefoilgauge_standins::tally::Execution;
+use trefoilgauge_standins::tally::Tally;
+use trefoilgauge_standins::worker::truth::Fate;
+
+const KINDS: [&str; 7] = [
+    "relief_scan",
+    "quick_check",
+    "erosion_comparison",
+    "entry_submission",
+    "annual_ledger",
+    "quick_invoice",
+    "payroll_batch",
+];
+/// The VM that dies.
+const DOOMED: usize = 2;
+
+fn call(kind: &str, vm: usize, round: usize) -> Call {
+    let name = format!("{kind}-{vm}-{round}");
+    Call::new(kind, &name).keyed(&name).within(30_000)
+}
+
+/// Sends one request of each kind to a VM, one after the other.
+async fn caller(fleet: &Fleet, vm: usize, round: usize) -> Vec<Told> {
+    let mut told = Vec::new();
+    for kind in KINDS {
+        told.push(fleet.request(vm, call(kind, vm, round)).await);
+    }
+    told
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_caller_has_one_whole_true_answer_though_a_vm_dies() {
+    let mut fleet = Fleet::start(7).await;
+    fleet.platform.truth.set("scan-1", Fate::run(1_500));
+    let job = json!({
+        "id": "scan-1", "kind": "relief_scan", "members": 2, "accelerators": 8,
+        "cores": 16, "memory_gb": 32, "adjacency": "rack", "run_ms": 1_500,
+    });
+    let (status, body) = fleet.submit(DOOMED, "scoring", &job).await;
+    assert_eq!(201, status, "{body}");
+
+    let dying = fleet.vms[DOOMED].pids();
+    let load = (0..28).map(|i| caller(&fleet, i % 7, i / 7));
+    let (told, ()) = tokio::join!(join_all(load), async {
+        support::until("requests run", async || {
+            !fleet.platform.tally.all().is_empty()
+        })
+        .await;
+        for pid in dying {
+            send_signal(pid, "KILL");
+        }
+    });
+    fleet.vms[DOOMED].kill();
+    let mut told: Vec<Told> = told.into_iter().flatten().collect();
+
+    let lost: Vec<Call> = told
+        .iter()
+        .filter(|one| matches!(one.outcome, Outcome::Nothing(_)))
+        .map(|one| one.call.clone())
+        .collect();
+    assert!(!lost.is_empty(), "the kill struck nobody");
+    for call in lost {
+        told.push(fleet.request(DOOMED + 1, call).await);
+    }
+
+    fleet
+        .wait_phase(0, "scoring", "scan-1", &json!({"ended": "done"}))
+        .await;
+    let tally = &fleet.platform.tally;
+    assert_eq!(Vec::<String>::new(), lies(&told, tally));
+    let single = fleet.platform.single_kinds();
+    assert_eq!(
+        0,
+        tally.doubled(&single).len(),
+        "{:?}",
+        tally.doubled(&single)
+    );
+    let elsewhere = told.iter().filter(|one| !one.call.body.contains("-2-"));
+    let refused: Vec<&Told> = elsewhere.filter(|one| !one.answered()).collect();
+    assert_eq!(Vec::<&Told>::new(), refused, "callers of other VMs");
+    let history = &fleet.platform.history;
+    assert_eq!(Vec::<String>::new(), history.partial("scan-1", 2, 3_000));
+    assert_eq!(Vec::<String>::new(), history.overlaps());
+    assert_eq!(Vec::<String>::new(), history.double_held());
+}
+
+#[test]
+fn the_checks_find_planted_violations() {
+    let told = |kind: &str, outcome| Told {
+        call: Call::new(kind, kind).keyed(kind),
+        outcome,
+    };
+    let refused = |ran: &str, retry| {
+        Outcome::Refused(Refused {
+            status: 503,
+            code: "draining".into(),
+            ran: ran.into(),
+            retry,
+        })
+    };
+    let tally = Tally::default();
+    for name in ["ran", "ran", "once"] {
+        tally.add(Execution {
+            runner: "runner-1".into(),
+            kind: name.into(),
+            request: name.into(),
+            key: Some(name.into()),
+            digest: digest(name.as_bytes()),
+        });
+    }
+    let cases = [
+        (told("never", Outcome::Answered), 1, 0),
+        (told("once", Outcome::Answered), 0, 0),
+        (told("ran", Outcome::Replayed), 0, 1),
+        (told("once", refused("no", true)), 1, 0),
+        (told("never", refused("no", true)), 0, 0),
+        (told("never", refused("no", false)), 1, 0),
+        (told("never", refused("yes", true)), 1, 0),
+        (told("once", Outcome::Wrong(String::new())), 1, 0),
+        (told("once", refused("unknown", true)), 0, 0),
+    ];
+    for (one, wrong, twice) in cases {
+        let one = [one];
+        assert_eq!(wrong, lies(&one, &tally).len(), "{one:?}");
+        assert_eq!(twice, doubled(&one, &tally).len(), "{one:?}");
+    }
+}
--- /dev/null
+++ b/tests/support/calls.rs
@@ -0,0 +1,182 @@
+//! Calls of callers, what they were told, and the check that it is true.
+
+use serde_json::Value;
+use std::collections::BTreeSet;
+use trefoilgauge_standins::client::Answer;
+use trefoilgauge_standins::client::Client;
+use trefoilgauge_standins::runner::WorkAnswer;
+use trefoilgauge_standins::runner::digest;
+use trefoilgauge_standins::tally::Tally;
+
+/// One call of a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Call {
+    pub(crate) workspace: String,
+    pub(crate) kind: String,
+    pub(crate) key: Option<String>,
+    pub(crate) body: String,
+    pub(crate) deadline_ms: Option<u64>,
+}
+
+impl Call {
+    /// Makes a call whose body no other call has.
+    pub(crate) fn new(kind: &str, body: &str) -> Self {
+        Self {
+            workspace: "scoring".into(),
+            kind: kind.into(),
+            key: None,
+            body: body.into(),
+            deadline_ms: None,
+        }
+    }
+
+    /// Gives the call an idempotency key.
+    pub(crate) fn keyed(mut self, key: &str) -> Self {
+        self.key = Some(key.into());
+        self
+    }
+
+    /// Gives the call a deadline.
+    pub(crate) fn within(mut self, deadline_ms: u64) -> Self {
+        self.deadline_ms = Some(deadline_ms);
+        self
+    }
+}
+
+/// What a refusal says of whether the request ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Refused {
+    pub(crate) status: u16,
+    pub(crate) code: String,
+    pub(crate) ran: String,
+    pub(crate) retry: bool,
+}
+
+/// What a caller was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// The whole answer to its own request.
+    Answered,
+    /// The whole answer of the first run with the same key.
+    Replayed,
+    /// A refusal.
+    Refused(Refused),
+    /// An answer that is not its own or not whole.
+    Wrong(String),
+    /// The connection ended without an answer.
+    Nothing(String),
+}
+
+/// A call and what its caller was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Told {
+    pub(crate) call: Call,
+    pub(crate) outcome: Outcome,
+}
+
+impl Told {
+    /// Tells whether the caller has a whole answer.
+    pub(crate) fn answered(&self) -> bool {
+        matches!(self.outcome, Outcome::Answered | Outcome::Replayed)
+    }
+
+    /// Returns the refusal, if it is one.
+    pub(crate) fn refused(&self) -> Option<&Refused> {
+        match &self.outcome {
+            Outcome::Refused(refused) => Some(refused),
+            _ => None,
+        }
+    }
+}
+
+/// Sends a call to the callers' address, and says what the caller was told.
+pub(crate) async fn request(client: &Client, addr: &str, call: Call) -> Told {
+    let url = format!(
+        "http://{addr}/v1/workspaces/{}/requests/{}",
+        call.workspace, call.kind
+    );
+    let deadline = call.deadline_ms.map(|ms| ms.to_string());
+    let key = call.key.as_deref();
+    let headers: Vec<(&str, &str)> = [
+        key.map(|key| ("idempotency-key", key)),
+        deadline.as_deref().map(|ms| ("deadline-ms", ms)),
+    ]
+    .into_iter()
+    .flatten()
+    .collect();
+    let outcome = match client.post(&url, &headers, call.body.clone()).await {
+        Ok(answer) => read(&call, &answer),
+        Err(error) => Outcome::Nothing(error.to_string()),
+    };
+    Told { call, outcome }
+}
+
+fn read(call: &Call, answer: &Answer) -> Outcome {
+    if answer.header("content-type") == Some("application/problem+json") {
+        return read_refusal(answer);
+    }
+    let work = match answer.json::<WorkAnswer>() {
+        Ok(work) => work,
+        Err(error) => return Outcome::Wrong(format!("{} {error}", answer.status)),
+    };
+    let replayed = answer.header("idempotency-replayed").is_some();
+    let named = answer.header("trefoil-request") == Some(&work.request);
+    let own = work.digest == digest(call.body.as_bytes()) && *work.kind == *call.kind;
+    match (answer.status, own, replayed) {
+        (200, true, true) => Outcome::Replayed,
+        (200, true, false) if named => Outcome::Answered,
+        _ => Outcome::Wrong(format!("{} {work:?}", answer.status)),
+    }
+}
+
+fn read_refusal(answer: &Answer) -> Outcome {
+    let body: Value = answer.json().unwrap_or_default();
+    let text = |key: &str| body[key].as_str().unwrap_or_default().to_owned();
+    Outcome::Refused(Refused {
+        status: answer.status,
+        code: text("code"),
+        ran: text("ran"),
+        retry: answer.header("retry-after").is_some(),
+    })
+}
+
+/// Returns each call whose caller was told what is not true, by what the upstreams executed.
+///
+/// Calls must differ in their bodies unless they share a key.
+pub(crate) fn lies(told: &[Told], tally: &Tally) -> Vec<String> {
+    let mut found = Vec::new();
+    for one in told {
+        let runs = tally.of_digest(&digest(one.call.body.as_bytes()));
+        let lie = match &one.outcome {
+            Outcome::Answered | Outcome::Replayed => runs == 0,
+            Outcome::Refused(refused) => match refused.ran.as_str() {
+                "no" => runs > 0,
+                "yes" => runs == 0,
+                "unknown" => false,
+                _ => true,
+            },
+            Outcome::Wrong(_) => true,
+            Outcome::Nothing(_) => false,
+        };
+        let silent = one
+            .refused()
+            .is_some_and(|refused| [429, 503].contains(&refused.status) && !refused.retry);
+        if lie || silent {
+            found.push(format!(
+                "{:?} ran {runs} times: {:?}",
+                one.call, one.outcome
+            ));
+        }
+    }
+    found
+}
+
+/// Returns the keyed calls of `told` that ran more than once.
+pub(crate) fn doubled(told: &[Told], tally: &Tally) -> Vec<String> {
+    let keys: BTreeSet<&String> = told
+        .iter()
+        .filter_map(|one| one.call.key.as_ref())
+        .collect();
+    let twice = keys.into_iter().filter(|key| tally.of_key(key) > 1);
+    twice.cloned().collect()
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,229 @@
+//! Runs the real binaries as processes of a fleet of VMs, beside stand-ins for the platform.
+
+#![expect(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "helpers of tests may panic"
+)]
+
+pub(crate) mod calls;
+pub(crate) mod vm;
+
+use calls::Call;
+use calls::Told;
+use serde_json::Value;
+use std::future::Future;
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use tempfile::TempDir;
+use trefoilgauge::configs::Settings;
+use trefoilgauge_standins::client::Client;
+use trefoilgauge_standins::log::LogHandle;
+use trefoilgauge_standins::platform::Deployment;
+use trefoilgauge_standins::platform::PlatformHandle;
+use trefoilgauge_standins::platform::PlatformOptions;
+use trefoilgauge_standins::platform::records;
+use vm::Vm;
+
+/// The bound of every wait for a condition; generous, as the machine may be busy.
+const WAIT: Duration = Duration::from_secs(60);
+/// The time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// A fleet of VMs with its platform.
+pub(crate) struct Fleet {
+    pub(crate) platform: PlatformHandle,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) client: Client,
+    net: Net,
+    dir: TempDir,
+    change: fn(&mut Settings),
+}
+
+/// The loopback network of one fleet, where nobody else binds ports.
+#[derive(Debug, Clone, Copy)]
+struct Net {
+    high: u8,
+    low: u8,
+}
+
+impl Net {
+    fn next() -> Self {
+        static FLEETS: AtomicU8 = AtomicU8::new(0);
+        let process = std::process::id();
+        Self {
+            high: 1 + (process % 251) as u8,
+            low: FLEETS.fetch_add(1, Ordering::SeqCst) ^ (process / 251) as u8,
+        }
+    }
+
+    fn ip(self, vm: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.high, self.low, 1 + vm as u8)
+    }
+}
+
+impl Fleet {
+    /// Starts a small platform and `vms` VMs, and waits until all are ready.
+    pub(crate) async fn start(vms: usize) -> Self {
+        Self::start_with(vms, |_| {}).await
+    }
+
+    /// Starts a fleet whose settings `change` changes.
+    pub(crate) async fn start_with(vms: usize, change: fn(&mut Settings)) -> Self {
+        let mut options = PlatformOptions::new(Deployment::small());
+        options.vms_lag_ms = 200;
+        let platform = PlatformHandle::spawn(options).await.unwrap();
+        platform.publish();
+        let mut fleet = Self {
+            platform,
+            vms: Vec::new(),
+            client: Client::new(Duration::from_secs(30)),
+            net: Net::next(),
+            dir: TempDir::new().unwrap(),
+            change,
+        };
+        for _ in 0..vms {
+            fleet.add_vm();
+        }
+        for vm in 0..vms {
+            fleet.wait_ready(vm).await;
+        }
+        fleet
+    }
+
+    /// Starts one more VM, and returns its number.
+    pub(crate) fn add_vm(&mut self) -> usize {
+        let number = self.vms.len();
+        let settings = self.settings(number);
+        let vm = Vm::start(settings, self.log_dir());
+        vm.members()
+            .into_iter()
+            .for_each(|one| self.platform.vms.join(one));
+        self.vms.push(vm);
+        number
+    }
+
+    /// Kills both processes of a VM and starts it anew under the same name.
+    pub(crate) fn restart_vm(&mut self, vm: usize) {
+        self.vms[vm].kill();
+        let settings = self.vms[vm].settings.clone();
+        self.vms[vm] = Vm::start(settings, self.log_dir());
+    }
+
+    fn log_dir(&self) -> PathBuf {
+        self.dir.path().to_owned()
+    }
+
+    fn settings(&self, number: usize) -> Settings {
+        let mut settings = vm::settings(number, self.net.ip(number));
+        settings.centre = self.platform.deployment.centre(number as u32);
+        settings.log.addr = self.platform.log.addr().to_string().into();
+        settings.peers.vms_addr = self.platform.vms.addr().to_string().into();
+        (self.change)(&mut settings);
+        settings
+    }
+
+    /// Returns the log's stand-in.
+    pub(crate) fn log(&self) -> &LogHandle {
+        &self.platform.log
+    }
+
+    /// Waits until both processes of a VM are ready.
+    pub(crate) async fn wait_ready(&self, vm: usize) {
+        let vm = &self.vms[vm];
+        for ops in [
+            &vm.settings.ops.entry_listen,
+            &vm.settings.ops.placer_listen,
+        ] {
+            let url = format!("http://{ops}/ready");
+            until("a VM is ready", async || {
+                let answer = self.client.get(&url).await;
+                answer.is_ok_and(|one| one.status == 200)
+            })
+            .await;
+        }
+    }
+
+    /// Sends a request to a VM, and says what its caller was told.
+    pub(crate) async fn request(&self, vm: usize, call: Call) -> Told {
+        let addr = &self.vms[vm].settings.callers.listen;
+        calls::request(&self.client, addr, call).await
+    }
+
+    /// Submits a gang to a VM, and returns the status and the body.
+    pub(crate) async fn submit(&self, vm: usize, workspace: &str, job: &Value) -> (u16, Value) {
+        let addr = &self.vms[vm].settings.callers.listen;
+        let url = format!("http://{addr}/v1/workspaces/{workspace}/jobs");
+        let answer = self.client.post(&url, &[], job.to_string()).await.unwrap();
+        (answer.status, answer.json().unwrap())
+    }
+
+    /// Returns what a VM says of a gang, nothing if it does not know it.
+    pub(crate) async fn gang(&self, vm: usize, workspace: &str, id: &str) -> Option<Value> {
+        let addr = &self.vms[vm].settings.callers.listen;
+        let url = format!("http://{addr}/v1/workspaces/{workspace}/jobs/{id}");
+        let answer = self.client.get(&url).await.ok()?;
+        let body: Value = answer.json().ok()?;
+        (answer.status == 200).then(|| body["job"].clone())
+    }
+
+    /// Waits until a VM says that a gang is in this phase.
+    pub(crate) async fn wait_phase(&self, vm: usize, workspace: &str, id: &str, phase: &Value) {
+        let mut last = None;
+        let start = Instant::now();
+        while start.elapsed() < WAIT {
+            last = self.gang(vm, workspace, id).await;
+            if last.as_ref().is_some_and(|gang| gang["phase"] == *phase) {
+                return;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        panic!("{id} did not come to {phase}; it is {last:?}");
+    }
+
+    /// Reads JSON from the operators' interface of a VM's entry process.
+    pub(crate) async fn ops(&self, vm: usize, path: &str) -> Option<Value> {
+        let addr = &self.vms[vm].settings.ops.entry_listen;
+        let answer = self
+            .client
+            .get(&format!("http://{addr}{path}"))
+            .await
+            .ok()?;
+        answer.json().ok()
+    }
+
+    /// Publishes a change of an object that replaces the version in force.
+    pub(crate) async fn publish(&self, vm: usize, object: &str, id: &str, body: Value) -> u64 {
+        let replaces = self.version(vm, object).await;
+        let record = records::change(2, object, id, replaces, body);
+        self.log().append("config", record)
+    }
+
+    /// Returns the version of an object that a VM has in force.
+    pub(crate) async fn version(&self, vm: usize, object: &str) -> u64 {
+        let (class, name) = object.split_once('/').unwrap();
+        let all = self.ops(vm, &format!("/ops/ledger/{class}s")).await;
+        all.unwrap()[name]["version"].as_u64().unwrap()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.vms.iter().for_each(Vm::print_logs);
+        }
+    }
+}
+
+/// Waits until `test` holds.
+pub(crate) async fn until<F: Future<Output = bool>>(what: &str, mut test: impl FnMut() -> F) {
+    let start = Instant::now();
+    while !test().await {
+        assert!(start.elapsed() < WAIT, "waited too long: {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/tests/support/vm.rs
@@ -0,0 +1,184 @@
+//! One VM: an entry process and a placer process.
+
+use std::fs::File;
+use std::net::Ipv4Addr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+use trefoilgauge::configs::Settings;
+use trefoilgauge::platform::Member;
+use trefoilgauge::platform::Role;
+use trefoilgauge::prelude::Name;
+
+/// The lines of a process's log that a failed test shows.
+const LINES: usize = 12;
+
+/// A running VM.
+pub(crate) struct Vm {
+    pub(crate) settings: Settings,
+    pub(crate) entry: Program,
+    pub(crate) placer: Program,
+}
+
+/// A running process, which is killed when it is dropped.
+pub(crate) struct Program {
+    child: Child,
+    log: PathBuf,
+}
+
+/// Makes the settings of a VM, with short leases and addresses of its own.
+pub(crate) fn settings(number: usize, ip: Ipv4Addr) -> Settings {
+    let mut settings = Settings {
+        vm: format!("vm-{}", number + 1).into(),
+        ..Settings::default()
+    };
+    settings.callers.listen = free_addr(ip);
+    settings.ops.entry_listen = free_addr(ip);
+    settings.ops.placer_listen = free_addr(ip);
+    settings.peers.entry_listen = free_addr(ip);
+    settings.peers.placer_listen = free_addr(ip);
+    settings.peers.vms_ms = 200;
+    settings.keeper.sync_ms = 250;
+    settings.keeper.lease_ms = 3_000;
+    settings.keeper.lost_ms = 2_000;
+    settings.keeper.lapse_ms = 6_500;
+    settings.keeper.isolated_ms = 3_000;
+    settings.gangs.rank_ms = 500;
+    settings
+}
+
+fn free_addr(ip: Ipv4Addr) -> Name {
+    let probe = TcpListener::bind((ip, 0)).unwrap();
+    probe.local_addr().unwrap().to_string().into()
+}
+
+impl Vm {
+    /// Starts both processes.
+    pub(crate) fn start(settings: Settings, dir: PathBuf) -> Self {
+        let file = dir.join(format!("{}.json", settings.vm));
+        std::fs::write(&file, serde_json::to_vec_pretty(&settings).unwrap()).unwrap();
+        let entry = env!("CARGO_BIN_EXE_trefoil-entry");
+        let placer = env!("CARGO_BIN_EXE_trefoil-placer");
+        Self {
+            entry: Program::start(entry, &file, "entry"),
+            placer: Program::start(placer, &file, "placer"),
+            settings,
+        }
+    }
+
+    /// Returns the VM's entries in the platform's list.
+    pub(crate) fn members(&self) -> [Member; 2] {
+        let peers = &self.settings.peers;
+        [
+            self.member(Role::Entry, &peers.entry_listen),
+            self.member(Role::Placer, &peers.placer_listen),
+        ]
+    }
+
+    fn member(&self, role: Role, addr: &Name) -> Member {
+        Member {
+            name: self.settings.vm.clone(),
+            role,
+            centre: self.settings.centre.clone(),
+            addr: addr.clone(),
+            leaving: false,
+        }
+    }
+
+    /// Returns the processes' identifiers.
+    pub(crate) fn pids(&self) -> [u32; 2] {
+        [self.entry.child.id(), self.placer.child.id()]
+    }
+
+    /// Kills both processes.
+    pub(crate) fn kill(&mut self) {
+        self.entry.kill();
+        self.placer.kill();
+    }
+
+    /// Sends both processes a signal, such as `TERM` or `STOP`.
+    pub(crate) fn signal(&self, name: &str) {
+        self.entry.signal(name);
+        self.placer.signal(name);
+    }
+
+    /// Waits until both processes have ended well.
+    pub(crate) async fn ended(&mut self, limit: Duration) -> bool {
+        self.entry.ended(limit).await && self.placer.ended(limit).await
+    }
+
+    /// Prints the end of both logs.
+    pub(crate) fn print_logs(&self) {
+        for program in [&self.entry, &self.placer] {
+            let text = std::fs::read_to_string(&program.log).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            let from = lines.len().saturating_sub(LINES);
+            eprintln!(
+                "--- {}\n{}",
+                program.log.display(),
+                lines[from..].join("\n")
+            );
+        }
+    }
+}
+
+impl Program {
+    fn start(program: &str, settings: &Path, part: &str) -> Self {
+        let log = settings.with_extension(format!("{part}.log"));
+        let file = File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .unwrap();
+        let child = Command::new(program)
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(file)
+            .spawn()
+            .unwrap();
+        Self { child, log }
+    }
+
+    /// Kills the process, as kill -9 does.
+    pub(crate) fn kill(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+
+    /// Sends the process a signal.
+    pub(crate) fn signal(&self, name: &str) {
+        send_signal(self.child.id(), name);
+    }
+
+    /// Waits until the process has ended, and says whether it ended well.
+    pub(crate) async fn ended(&mut self, limit: Duration) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < limit {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+}
+
+/// Sends a process that a test started a signal, such as `KILL`, `STOP` or `TERM`.
+pub(crate) fn send_signal(pid: u32, name: &str) {
+    let status = Command::new("kill")
+        .args([format!("-{name}"), pid.to_string()])
+        .status();
+    assert!(status.unwrap().success(), "kill -{name} {pid}");
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
