--- a/src/reducer/ledger/mod.rs
+++ b/src/reducer/ledger/mod.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod gangs;
 pub mod pairs;
+mod references;
 
 use crate::prelude::*;
 use crate::records::Batch;
