fix(requests): take in each list of VMs when it is read

Cause: a runner that one list named leaving and the next did not was never seen as leaving, because the request policy looked at the list only with its next own event. Ruled out: keeping the history in the peers, which hold hints for all parts. Change: the reducer's step hands each list to `Requests::listed` (4 lines).

--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -111,7 +111,11 @@
             workspace,
             job,
         } => cancel(ctx, state, now, req, &workspace, job, &mut effects),
-        Event::Members { list } => state.peers.read_list(list),
+        Event::Members { list } => {
+            state.peers.read_list(list);
+            let (requests, view) = parts(ctx, state, now);
+            requests.listed(&view, &mut effects);
+        }
         Event::Peer(beat) => peer(state, now, beat, &mut effects),
         Event::Synced { worker, answer } => {
             let ledger = &state.ledger;
