--- a/tests/requests_policy.rs
+++ b/tests/requests_policy.rs
@@ -402,7 +402,7 @@
                 world.end(0, 0, TryEnd::Leaving, false);
             }
             for list in lists.iter().skip(usize::from(by_itself)) {
-                world.tell(0, members(list));
+                world.tell(0, members(*list));
             }
             world.arrive(0, "scan", None, 0);
             world.arrive(0, "scan", None, 0);
