--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Measures the decisions and their cost by replays with a virtual clock.
 
 pub mod report;
+pub mod requests;
 
 use crate::prelude::*;
 use serde::Serialize;
@@ -72,5 +73,5 @@
 
 /// Returns all parts, whose outcomes the report puts together.
 pub fn parts() -> Vec<Box<dyn Part>> {
-    Vec::new()
+    vec![Box::new(requests::Requests)]
 }
--- /dev/null
+++ b/src/bench/requests/vm.rs
@@ -0,0 +1,242 @@
+//! The entry VMs of a replay: the real reducer, and a plain baseline.
+
+use super::trace::RUNNERS;
+use super::trace::SLOTS;
+use super::trace::VMS;
+use super::trace::runner_name;
+use crate::configs::Settings;
+use crate::context::Context;
+use crate::context::Process;
+use crate::prelude::*;
+use crate::reducer::Effect;
+use crate::reducer::Event;
+use crate::reducer::Now;
+use crate::reducer::State;
+use crate::reducer::effect::Code;
+use crate::reducer::effect::Dispatch;
+use crate::reducer::effect::Ran;
+use crate::reducer::effect::Refusal;
+use crate::reducer::effect::Reply;
+use crate::reducer::event::Heartbeat;
+use crate::reducer::event::Load;
+use crate::reducer::event::TryEnd;
+use crate::reducer::step;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+/// Wall time at the start of a replay, in milliseconds.
+pub const WALL_MS: u64 = 1_700_000_000_000;
+/// The wait of the baseline after a busy answer, in milliseconds.
+const BUSY_MS: u64 = 100;
+
+/// An entry VM that a replay can drive.
+pub trait Vm: std::fmt::Debug {
+    /// Gives it one event, and returns what is to be done.
+    fn tell(&mut self, now_ms: u64, event: Event) -> Vec<Effect>;
+    /// Returns what it would say of itself.
+    fn beat(&self) -> Heartbeat;
+    /// Returns the writer name and boot of its batches.
+    fn writer(&self) -> Name;
+}
+
+/// An entry VM that runs the reducer.
+#[derive(Debug)]
+pub struct Real {
+    ctx: Context,
+    state: State,
+}
+
+impl Real {
+    /// Starts the VM with this number.
+    pub fn start(vm: usize) -> Self {
+        let settings = Settings {
+            vm: format!("vm-{vm}").into(),
+            centre: format!("centre-{}", vm % 3 + 1).into(),
+            ..Settings::default()
+        };
+        Self {
+            ctx: Context::new(Process::Entry, settings, WALL_MS),
+            state: State::default(),
+        }
+    }
+}
+
+impl Vm for Real {
+    fn tell(&mut self, now_ms: u64, event: Event) -> Vec<Effect> {
+        let now = Now {
+            mono_ms: now_ms,
+            wall_ms: WALL_MS + now_ms,
+        };
+        step(&self.ctx, &mut self.state, now, event)
+    }
+
+    fn beat(&self) -> Heartbeat {
+        let loads = self.state.requests.loads();
+        beat(&self.ctx.writer, self.state.ledger.next, loads)
+    }
+
+    fn writer(&self) -> Name {
+        self.ctx.writer.clone()
+    }
+}
+
+/// First come, first served, at the least loaded runner; no priority, no admission, no cooldown.
+#[derive(Debug)]
+pub struct Plain {
+    writer: Name,
+    own: Vec<u32>,
+    others: BTreeMap<Name, Vec<Load>>,
+    waiting: VecDeque<Name>,
+    sent: BTreeMap<Name, Sent>,
+    later: VecDeque<Later>,
+}
+
+#[derive(Debug)]
+struct Sent {
+    runner: usize,
+    attempt: u32,
+}
+
+#[derive(Debug)]
+struct Later {
+    at_ms: u64,
+    req: Name,
+}
+
+impl Plain {
+    /// Starts the VM with this number.
+    pub fn start(vm: usize) -> Self {
+        Self {
+            writer: format!("vm-{vm}/entry").into(),
+            own: vec![0; RUNNERS],
+            others: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            sent: BTreeMap::new(),
+            later: VecDeque::new(),
+        }
+    }
+
+    fn load(&self, runner: usize) -> u32 {
+        let name = runner_name(runner);
+        let others = self.others.values().flatten();
+        let others: u32 = others
+            .filter(|load| load.runner == name)
+            .map(|load| load.flight)
+            .sum();
+        self.own[runner] + others
+    }
+
+    fn pump(&mut self, effects: &mut Vec<Effect>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut loads: Vec<u32> = (0..RUNNERS).map(|runner| self.load(runner)).collect();
+        while let Some(req) = self.waiting.front().cloned() {
+            let best = (0..RUNNERS).min_by_key(|runner| loads[*runner]);
+            let Some(runner) = best.filter(|runner| loads[*runner] < SLOTS) else {
+                return;
+            };
+            loads[runner] += 1;
+            self.waiting.pop_front();
+            self.own[runner] += 1;
+            let sent = self
+                .sent
+                .entry(req.clone())
+                .or_insert(Sent { runner, attempt: 0 });
+            sent.runner = runner;
+            sent.attempt += 1;
+            effects.push(Effect::Dispatch(Dispatch {
+                req,
+                attempt: sent.attempt,
+                runner: runner_name(runner),
+                addr: "127.0.0.1:9".into(),
+                left_ms: u64::MAX,
+                proven: false,
+                connections: 1,
+            }));
+        }
+    }
+
+    fn ended(&mut self, now_ms: u64, req: Name, end: &TryEnd, effects: &mut Vec<Effect>) {
+        let Some(sent) = self.sent.get(&req) else {
+            return;
+        };
+        self.own[sent.runner] -= 1;
+        let reply = match end {
+            TryEnd::Answered { status: 429, .. } | TryEnd::NotSent { .. } | TryEnd::Leaving => {
+                let at_ms = now_ms + BUSY_MS;
+                self.later.push_back(Later { at_ms, req });
+                return;
+            }
+            TryEnd::Answered { .. } => Reply::Upstream {
+                attempt: sent.attempt,
+                runner: runner_name(sent.runner),
+            },
+            TryEnd::Broken { .. } => Reply::Refused(Refusal {
+                status: 502,
+                code: Code::UpstreamBroken,
+                ran: Ran::Unknown,
+                retry_ms: None,
+                detail: String::new(),
+            }),
+        };
+        self.sent.remove(&req);
+        effects.push(Effect::Reply { req, cfg: 0, reply });
+    }
+}
+
+impl Vm for Plain {
+    fn tell(&mut self, now_ms: u64, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Arrive(arrival) => self.waiting.push_back(arrival.req),
+            Event::TryEnd { req, end, .. } => self.ended(now_ms, req, &end, &mut effects),
+            Event::Peer(beat) => drop(self.others.insert(beat.from, beat.loads)),
+            _ => {}
+        }
+        while self.later.front().is_some_and(|next| next.at_ms <= now_ms) {
+            let next = self.later.pop_front();
+            self.waiting.extend(next.map(|next| next.req));
+        }
+        self.pump(&mut effects);
+        effects
+    }
+
+    fn beat(&self) -> Heartbeat {
+        let busy = self.own.iter().enumerate().filter(|(_, own)| **own > 0);
+        let loads = busy.map(|(runner, own)| Load {
+            runner: runner_name(runner),
+            flight: *own,
+        });
+        beat(&self.writer, 0, loads.collect())
+    }
+
+    fn writer(&self) -> Name {
+        self.writer.clone()
+    }
+}
+
+fn beat(from: &Name, control: Offset, loads: Vec<Load>) -> Heartbeat {
+    Heartbeat {
+        from: from.clone(),
+        centre: "centre-1".into(),
+        boot: WALL_MS,
+        control,
+        cfg: 0,
+        log_up: true,
+        draining: false,
+        loads,
+        digest: None,
+    }
+}
+
+/// Starts the VMs of a fleet.
+pub fn fleet(real: bool) -> Vec<Box<dyn Vm>> {
+    let start = |vm: usize| -> Box<dyn Vm> {
+        match real {
+            true => Box::new(Real::start(vm)),
+            false => Box::new(Plain::start(vm)),
+        }
+    };
+    (0..VMS).map(start).collect()
+}
