--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -1,6 +1,9 @@
 //! Callers' calls about gangs, through the reducer.
 
-#![expect(clippy::panic, reason = "a test ends where a reply is of the wrong kind")]
+#![expect(
+    clippy::panic,
+    reason = "a test ends where a reply is of the wrong kind"
+)]
 
 use trefoilgauge::configs::Settings;
 use trefoilgauge::context::Context;
