feat(gang): keep workers by a queue of due times and stop a cut-off keeper

The keeper ranked every worker at every tick (workers times peers), went on renewing leases when it heard neither log nor peers, and passed nine arguments to one function. Now the line is worked out only when peers, workers or the list change, a queue orders the workers by the time at which they are due, and a process that is alone, or behind what a peer had read, for isolated_ms renews no lease. Found and mended on the way: a worker that had said Ready and then froze never lapsed; a report of one failed member freed the accelerators of the other members on that worker, which might still run (now only Done, Stopped and Lapsed free); a pause of the keeper counted as the silence of every worker. Quarantine is proposed by the keeper from the ledger's counts, checked by the ledger, survives an answer after silence, and ends with a probe.

--- a/src/reducer/keeper/mod.rs
+++ b/src/reducer/keeper/mod.rs
@@ -2,63 +2,93 @@
 //!
 //! Each worker is kept by the first live placer in its line. Two keepers at once do no harm: a
 //! sync carries the control offset that it follows from, a worker refuses a lower one than it
-//! has seen, and of two equal reports the log's first counts.
+//! has seen, and of two equal reports the log's first counts. A process that hears neither the
+//! log nor a peer renews no lease, so that its tasks end where nobody can follow them.
+
+mod contact;
+mod judge;
+mod line;
+mod outbox;
 
 use super::effect::Effect;
 use super::event::Now;
 use super::ledger::Ledger;
-use super::ledger::gangs::Gang;
+use super::ledger::fleet::Host;
+use super::ledger::gangs;
 use super::ledger::gangs::Phase;
 use super::peers::Peers;
+use crate::configs::KeeperConfig;
 use crate::context::Context;
 use crate::platform::SyncAnswer;
 use crate::platform::SyncCall;
-use crate::platform::TaskReport;
-use crate::platform::TaskState;
-use crate::platform::Want;
-use crate::platform::WantedTask;
 use crate::prelude::*;
-use crate::records::Entry;
 use crate::records::MemberState;
 use crate::records::WorkerState;
+use contact::Contact;
+use line::Line;
+use outbox::Outbox;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+/// The time between two ticks that counts as a pause of this process, in milliseconds.
+const PAUSE_MS: u64 = 1_000;
+
+/// Everything that the keeper looks at.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The settings and the process.
+    pub ctx: &'a Context,
+    /// What the log says.
+    pub ledger: &'a Ledger,
+    /// The peers.
+    pub peers: &'a Peers,
+    /// The time.
+    pub now: Now,
+    /// Whether the log is reached.
+    pub log_up: bool,
+}
 
-/// The time after which a report that was not read back is appended again, in milliseconds.
-const REPORT_AGAIN_MS: u64 = 3_000;
+impl View<'_> {
+    fn config(&self) -> &KeeperConfig {
+        &self.ctx.settings.keeper
+    }
+}
 
 /// What this process knows of a worker from its own syncs.
 #[derive(Debug, Clone, Default, PartialEq)]
 struct Kept {
     flight: bool,
+    /// When it is looked at next, in milliseconds of monotonic time.
+    wake_ms: u64,
+    /// When it is synced next, in milliseconds of monotonic time.
     due_ms: u64,
+    /// When it last answered, in milliseconds of monotonic time.
     heard_ms: u64,
+    /// The control offset of the last sync.
     as_of: Offset,
-    sent: BTreeMap<Mark, u64>,
+    outbox: Outbox,
 }
 
-/// Identifies a report that was appended and not read back.
+/// The time at which a worker is looked at.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Mark {
-    job: Name,
-    token: Offset,
-    state: Option<MemberState>,
+struct Wake {
+    at_ms: u64,
+    worker: Name,
 }
 
 /// All workers that this process keeps.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Keeper {
     kept: BTreeMap<Name, Kept>,
-    jobs: BTreeMap<Name, Vec<Name>>,
-    stamp: Option<Offset>,
+    wakes: BTreeSet<Wake>,
+    line: Line,
+    contact: Contact,
+    ticked_ms: Option<u64>,
 }
 
 impl Keeper {
     /// Makes the workers of the gangs that moved due at once.
     pub fn follow(&mut self, ledger: &Ledger, moved: &[Name]) {
-        if self.stamp.is_none() || !moved.is_empty() {
-            self.stamp = Some(ledger.next);
-            self.index(ledger);
-        }
         for job in moved {
             let Some(gang) = ledger.gangs.all.get(job) else {
                 continue;
@@ -66,60 +96,45 @@
             for slot in &gang.slots {
                 if let Some(kept) = self.kept.get_mut(&slot.worker) {
                     kept.due_ms = 0;
+                    self.wakes.remove(&wake(kept.wake_ms, &slot.worker));
+                    kept.wake_ms = 0;
+                    self.wakes.insert(wake(0, &slot.worker));
                 }
             }
         }
     }
 
-    /// Syncs the workers that are due, and reports the silent ones.
-    pub fn tick(
-        &mut self,
-        ctx: &Context,
-        ledger: &Ledger,
-        peers: &Peers,
-        now: Now,
-        effects: &mut Vec<Effect>,
-    ) {
-        let config = &ctx.settings.keeper;
-        self.kept
-            .retain(|name, _| ledger.fleet.hosts.contains_key(name));
-        for (name, host) in &ledger.fleet.hosts {
-            if peers.rank(ctx, now, name) > 0 {
-                self.kept.remove(name);
-                continue;
-            }
-            let jobs = self.jobs.get(name);
-            let kept = self.kept.entry(name.clone()).or_insert(Kept {
-                heard_ms: now.mono_ms,
-                ..Kept::default()
-            });
-            report_silence(
-                config.lost_ms,
-                config.lapse_ms,
-                ledger,
-                name,
-                host.state,
-                jobs,
-                kept,
-                now,
-                effects,
-            );
-            if kept.flight || now.mono_ms < kept.due_ms {
-                continue;
+    /// Returns how many workers this process keeps.
+    pub fn len(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// Tells whether this process keeps no worker.
+    pub fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+
+    /// Syncs the workers that are due, and reports the silent and the failing ones.
+    pub fn tick(&mut self, view: &View<'_>, effects: &mut Vec<Effect>) {
+        self.forgive_pause(view);
+        if !self.contact.check(view) {
+            self.kept.clear();
+            self.wakes.clear();
+            self.line = Line::default();
+            return;
+        }
+        if self.line.follow(view) {
+            self.take_over(view);
+        }
+        let now_ms = view.now.mono_ms;
+        while let Some(next) = self.wakes.first() {
+            if next.at_ms > now_ms {
+                return;
             }
-            kept.flight = true;
-            kept.due_ms = now.mono_ms + config.sync_ms;
-            kept.as_of = ledger.next;
-            let call = SyncCall {
-                as_of: ledger.next,
-                lease_ms: config.lease_ms,
-                tasks: wanted(ledger, name, jobs),
+            let Some(next) = self.wakes.pop_first() else {
+                return;
             };
-            effects.push(Effect::Sync {
-                worker: name.clone(),
-                addr: host.addr.clone(),
-                call,
-            });
+            self.visit(view, &next.worker, effects);
         }
     }
 
@@ -132,7 +147,6 @@
         now: Now,
         effects: &mut Vec<Effect>,
     ) {
-        let jobs = self.jobs.get(worker);
         let Some(kept) = self.kept.get_mut(worker) else {
             return;
         };
@@ -140,206 +154,160 @@
         let Some(answer) = answer else {
             return;
         };
+        kept.heard_ms = now.mono_ms;
         if answer.as_of > kept.as_of {
             return;
         }
-        kept.heard_ms = now.mono_ms;
-        for gang in held_gangs(ledger, jobs) {
-            let Some(state) = judge(gang, worker, &answer.tasks) else {
-                continue;
-            };
-            let kept_ms = kept_ms(gang, &answer.tasks);
-            append_report(kept, gang, worker, state, kept_ms, now, effects);
+        let Some(host) = ledger.fleet.hosts.get(worker) else {
+            return;
+        };
+        for gang in judge::held_gangs(ledger, host) {
+            if let Some(report) = judge::judge(gang, worker, &answer.tasks) {
+                kept.outbox.report(gang, worker, report, now, effects);
+            }
         }
-        let host = ledger.fleet.hosts.get(worker);
-        let foreign = answer.tasks.iter().any(|task| !known(ledger, task));
-        if host.is_some_and(|host| host.state == WorkerState::Lost) && !foreign {
-            append_worker(kept, worker, WorkerState::Up, "it answers", now, effects);
+        let foreign = answer.tasks.iter().any(|task| !judge::known(ledger, task));
+        if host.state == WorkerState::Lost && !foreign {
+            let reason = "it answers".into();
+            kept.outbox
+                .worker(worker, WorkerState::Up, reason, now, effects);
         }
     }
 
-    fn index(&mut self, ledger: &Ledger) {
-        self.jobs.clear();
-        for (job, gang) in &ledger.gangs.all {
-            for slot in &gang.slots {
-                let jobs = self.jobs.entry(slot.worker.clone()).or_default();
-                if jobs.last() != Some(job) {
-                    jobs.push(job.clone());
-                }
-            }
+    /// Counts no time as a worker's silence in which this process did not run.
+    fn forgive_pause(&mut self, view: &View<'_>) {
+        let now_ms = view.now.mono_ms;
+        let last_ms = self.ticked_ms.replace(now_ms).unwrap_or(now_ms);
+        let pause_ms = now_ms.saturating_sub(last_ms);
+        if pause_ms < PAUSE_MS {
+            return;
+        }
+        for kept in self.kept.values_mut() {
+            kept.heard_ms += pause_ms;
         }
     }
-}
 
-fn held_gangs<'a>(
-    ledger: &'a Ledger,
-    jobs: Option<&'a Vec<Name>>,
-) -> impl Iterator<Item = &'a Gang> {
-    let jobs = jobs.into_iter().flatten();
-    jobs.filter_map(|job| ledger.gangs.all.get(job))
-}
-
-fn known(ledger: &Ledger, task: &TaskReport) -> bool {
-    let gang = ledger.gangs.all.get(&task.job);
-    gang.is_some_and(|gang| gang.token == task.token && gang.holds())
-}
+    /// Keeps the workers that this process is the first in line for, and no others.
+    fn take_over(&mut self, view: &View<'_>) {
+        let mut before = std::mem::take(&mut self.kept);
+        self.wakes.clear();
+        for worker in self.line.own() {
+            let kept = before.remove(worker).unwrap_or(Kept {
+                heard_ms: view.now.mono_ms,
+                ..Kept::default()
+            });
+            self.wakes.insert(wake(kept.wake_ms, worker));
+            self.kept.insert(worker.clone(), kept);
+        }
+    }
 
-fn wanted(ledger: &Ledger, worker: &Name, jobs: Option<&Vec<Name>>) -> Vec<WantedTask> {
-    let mut tasks = Vec::new();
-    for gang in held_gangs(ledger, jobs) {
-        let want = match gang.phase {
-            Phase::Preparing => Want::Prepare,
-            Phase::Running => Want::Run,
-            _ => Want::Stop,
+    fn visit(&mut self, view: &View<'_>, worker: &Name, effects: &mut Vec<Effect>) {
+        let Some(kept) = self.kept.get_mut(worker) else {
+            return;
         };
-        let kind = ledger.catalog.kind(&gang.job.kind);
-        for (i, slot) in gang.slots.iter().enumerate() {
-            if slot.worker != *worker {
-                continue;
-            }
-            tasks.push(WantedTask {
-                job: gang.job.id.clone(),
-                index: i as u32,
-                token: gang.token,
-                want,
-                mask: slot.mask,
-                cores: gang.job.cores,
-                memory_gb: gang.job.memory_gb,
-                checkpoint: kind.is_some_and(|kind| kind.checkpoint),
-                kept_ms: gang.kept_ms,
+        let Some(host) = view.ledger.fleet.hosts.get(worker) else {
+            return;
+        };
+        let now_ms = view.now.mono_ms;
+        report_silence(view, worker, host, kept, effects);
+        report_health(view, worker, host, self.line.leaving(worker), kept, effects);
+        let pause_ms = pause_ms(view, host);
+        if !kept.flight && now_ms >= kept.due_ms {
+            kept.flight = true;
+            kept.due_ms = now_ms + pause_ms;
+            kept.as_of = view.ledger.next;
+            effects.push(Effect::Sync {
+                worker: worker.clone(),
+                addr: host.addr.clone(),
+                call: SyncCall {
+                    as_of: view.ledger.next,
+                    lease_ms: view.config().lease_ms,
+                    tasks: judge::wanted(view.ledger, worker, host),
+                },
             });
         }
+        kept.wake_ms = kept.due_ms.max(now_ms + 1).min(now_ms + pause_ms);
+        self.wakes.insert(wake(kept.wake_ms, worker));
     }
-    tasks
 }
 
-/// Says what one worker's answer means for its members of a gang, if it means anything new.
-fn judge(gang: &Gang, worker: &Name, tasks: &[TaskReport]) -> Option<MemberState> {
-    let own: Vec<TaskState> = tasks
-        .iter()
-        .filter(|task| task.job == gang.job.id && task.token == gang.token)
-        .map(|task| task.state)
-        .collect();
-    let any = |state: TaskState| own.contains(&state);
-    let all = |states: &[TaskState]| own.iter().all(|state| states.contains(state));
-    let count = gang
-        .slots
-        .iter()
-        .filter(|slot| slot.worker == *worker)
-        .count();
-    let state = match &gang.phase {
-        _ if own.len() != count => return None,
-        Phase::Preparing | Phase::Running if any(TaskState::Failed) => MemberState::Failed,
-        Phase::Preparing | Phase::Running if any(TaskState::Absent) => MemberState::Lost,
-        Phase::Preparing | Phase::Running if any(TaskState::Stopped) => MemberState::Lost,
-        Phase::Preparing if all(&[TaskState::Prepared, TaskState::Running]) => MemberState::Ready,
-        Phase::Running if all(&[TaskState::Done]) => MemberState::Done,
-        Phase::Stopping(_) if all(&[TaskState::Done]) => MemberState::Done,
-        Phase::Stopping(_)
-            if all(&[
-                TaskState::Stopped,
-                TaskState::Absent,
-                TaskState::Failed,
-                TaskState::Done,
-            ]) =>
-        {
-            MemberState::Stopped
-        }
-        _ => return None,
-    };
-    (gang.reports.get(worker) != Some(&state)).then_some(state)
+fn wake(at_ms: u64, worker: &Name) -> Wake {
+    Wake {
+        at_ms,
+        worker: worker.clone(),
+    }
 }
 
-fn kept_ms(gang: &Gang, tasks: &[TaskReport]) -> u64 {
-    let own = tasks
-        .iter()
-        .filter(|task| task.job == gang.job.id && task.token == gang.token);
-    own.map(|task| task.kept_ms).min().unwrap_or(0)
+/// Returns the time to the next sync of a worker that nothing else wakes, in milliseconds.
+fn pause_ms(view: &View<'_>, host: &Host) -> u64 {
+    let config = view.config();
+    let mut gangs = judge::held_gangs(view.ledger, host);
+    if gangs.any(|gang| gang.phase != Phase::Running) {
+        return config.busy_ms;
+    }
+    match host.jobs.is_empty() {
+        true => config.idle_ms,
+        false => config.sync_ms,
+    }
 }
 
-#[expect(clippy::too_many_arguments, reason = "split when the keeper grows")]
 fn report_silence(
-    lost_ms: u64,
-    lapse_ms: u64,
-    ledger: &Ledger,
+    view: &View<'_>,
     worker: &Name,
-    state: WorkerState,
-    jobs: Option<&Vec<Name>>,
+    host: &Host,
     kept: &mut Kept,
-    now: Now,
     effects: &mut Vec<Effect>,
 ) {
-    let silence_ms = now.mono_ms.saturating_sub(kept.heard_ms);
-    if silence_ms >= lost_ms && state != WorkerState::Lost {
+    let config = view.config();
+    let silence_ms = view.now.mono_ms.saturating_sub(kept.heard_ms);
+    if silence_ms >= config.lost_ms && host.state != WorkerState::Lost {
         let reason = format!("silent for {silence_ms} ms");
-        append_worker(kept, worker, WorkerState::Lost, &reason, now, effects);
+        let state = WorkerState::Lost;
+        kept.outbox.worker(worker, state, reason, view.now, effects);
     }
-    if silence_ms < lapse_ms || state != WorkerState::Lost {
+    if silence_ms < config.lapse_ms || host.state != WorkerState::Lost {
         return;
     }
-    for gang in held_gangs(ledger, jobs) {
-        let open = !gang.reports.contains_key(worker);
+    for gang in judge::held_gangs(view.ledger, host) {
+        let last = gang.reports.get(worker);
+        let open = last.is_none_or(|last| !gangs::ended(*last));
         if open && matches!(gang.phase, Phase::Stopping(_)) {
-            append_report(kept, gang, worker, MemberState::Lapsed, 0, now, effects);
+            let report = judge::Report {
+                state: MemberState::Lapsed,
+                kept_ms: 0,
+            };
+            kept.outbox.report(gang, worker, report, view.now, effects);
         }
     }
 }
 
-fn append_report(
-    kept: &mut Kept,
-    gang: &Gang,
+/// Reports a worker that fails what it starts, one whose quarantine ends and one that leaves.
+fn report_health(
+    view: &View<'_>,
     worker: &Name,
-    state: MemberState,
-    kept_ms: u64,
-    now: Now,
-    effects: &mut Vec<Effect>,
-) {
-    let mark = Mark {
-        job: gang.job.id.clone(),
-        token: gang.token,
-        state: Some(state),
-    };
-    if !first_in_a_while(kept, mark, now) {
-        return;
-    }
-    effects.push(Effect::Append(Entry::Member {
-        job: gang.job.id.clone(),
-        token: gang.token,
-        worker: worker.clone(),
-        state,
-        kept_ms,
-    }));
-}
-
-fn append_worker(
+    host: &Host,
+    leaving: bool,
     kept: &mut Kept,
-    worker: &Name,
-    state: WorkerState,
-    reason: &str,
-    now: Now,
     effects: &mut Vec<Effect>,
 ) {
-    let mark = Mark {
-        job: worker.clone(),
-        token: state as u64,
-        state: None,
+    let wall_ms = view.now.wall_ms.max(view.ledger.clock_ms);
+    let found = match host.state {
+        WorkerState::Up if host.suspect() => {
+            let jobs: Vec<&str> = host.faults.iter().map(|fault| &*fault.job).collect();
+            let reason = format!("failed in a row: {}", jobs.join(", "));
+            Some((WorkerState::Quarantined, reason))
+        }
+        WorkerState::Up if leaving => {
+            let reason = "the list of VMs says that it leaves";
+            Some((WorkerState::Leaving, reason.to_owned()))
+        }
+        WorkerState::Quarantined if wall_ms >= host.until_ms => {
+            let reason = "its quarantine ended; the next work is a probe";
+            Some((WorkerState::Up, reason.to_owned()))
+        }
+        _ => None,
     };
-    if !first_in_a_while(kept, mark, now) {
-        return;
-    }
-    effects.push(Effect::Append(Entry::Worker {
-        worker: worker.clone(),
-        state,
-        reason: reason.to_owned(),
-    }));
-}
-
-fn first_in_a_while(kept: &mut Kept, mark: Mark, now: Now) -> bool {
-    let horizon_ms = now.mono_ms.saturating_sub(REPORT_AGAIN_MS);
-    kept.sent.retain(|_, at_ms| *at_ms > horizon_ms);
-    if kept.sent.contains_key(&mark) {
-        return false;
+    if let Some((state, reason)) = found {
+        kept.outbox.worker(worker, state, reason, view.now, effects);
     }
-    kept.sent.insert(mark, now.mono_ms);
-    true
 }
--- a/src/reducer/ledger/gangs.rs
+++ b/src/reducer/ledger/gangs.rs
@@ -256,6 +256,7 @@
     Ok(())
 }
 
+pub(crate) use reports::ended;
 pub(super) use reports::follow_worker;
 
 fn find<'a>(ledger: &'a mut Ledger, job: &Name) -> std::result::Result<&'a mut Gang, Void> {
--- a/src/reducer/ledger/gangs/reports.rs
+++ b/src/reducer/ledger/gangs/reports.rs
@@ -178,8 +178,13 @@
     })
 }
 
-fn ended(state: MemberState) -> bool {
-    state != MemberState::Ready
+/// Tells whether all members on a worker have ended; after a failure or loss of one of them the
+/// others may still be running.
+pub(crate) fn ended(state: MemberState) -> bool {
+    matches!(
+        state,
+        MemberState::Done | MemberState::Stopped | MemberState::Lapsed
+    )
 }
 
 /// Takes the blame for a gang's own fault off the workers on which it failed.
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -7,6 +7,7 @@
 use super::effect::Reply;
 use super::event::Event;
 use super::event::Now;
+use super::keeper;
 use super::keeper::Keeper;
 use super::ledger::Applied;
 use super::ledger::Ledger;
@@ -209,9 +210,14 @@
             if !state.ready() {
                 return;
             }
-            state
-                .keeper
-                .tick(ctx, &state.ledger, &state.peers, now, effects);
+            let view = keeper::View {
+                ctx,
+                ledger: &state.ledger,
+                peers: &state.peers,
+                now,
+                log_up: state.log_up,
+            };
+            state.keeper.tick(&view, effects);
             plan(ctx, state, now, effects);
         }
     }
--- a/tests/gangs/interleave.rs
+++ b/tests/gangs/interleave.rs
@@ -7,12 +7,15 @@
 use arbtest::arbitrary::Result;
 use arbtest::arbitrary::Unstructured;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use trefoilgauge::model::Adjacency;
 use trefoilgauge::prelude::*;
 use trefoilgauge::records::Entry;
 use trefoilgauge::records::MemberState;
 use trefoilgauge::records::Slot;
+use trefoilgauge::records::Verdict;
 use trefoilgauge::records::WorkerState;
+use trefoilgauge::reducer::ledger::gangs::Gangs;
 use trefoilgauge::reducer::ledger::gangs::Phase;
 use trefoilgauge::reducer::plan::pack;
 use trefoilgauge::reducer::plan::round;
@@ -36,9 +39,13 @@
     for seed in 0..SEEDS {
         let run = |u: &mut Unstructured<'_>| {
             let mut log = open(u)?;
+            let mut finals = BTreeSet::new();
             for i in 0..STEPS {
                 if let Some(entries) = choose(u, &mut log, i)? {
-                    let verdicts = log.batch(entries);
+                    let before = log.ledger.gangs.clone();
+                    let verdicts = log.batch(entries.clone());
+                    finals.extend(final_reports(&entries, &verdicts));
+                    check_freed(&before, &log, &finals);
                     refused += verdicts.iter().filter(|one| one.is_err()).count();
                 }
                 assert_eq!(None, log.broken(), "step {i} of seed {seed}");
@@ -57,6 +64,37 @@
     assert!(ended > 100 && covered > 1_000 && refused > 100);
 }
 
+/// One worker's final report on its members of a placement.
+type Final = (Name, Offset, Name);
+
+fn final_reports(entries: &[Entry], verdicts: &[Verdict]) -> Vec<Final> {
+    let valid = entries.iter().zip(verdicts).filter(|(_, one)| one.is_ok());
+    let finals = valid.filter_map(|(entry, _)| match entry {
+        Entry::Member {
+            job,
+            token,
+            worker,
+            state: MemberState::Done | MemberState::Stopped | MemberState::Lapsed,
+            ..
+        } => Some((job.clone(), *token, worker.clone())),
+        _ => None,
+    });
+    finals.collect()
+}
+
+/// Checks that what was freed was held by members that all had a final report.
+fn check_freed(before: &Gangs, log: &Log, finals: &BTreeSet<Final>) {
+    for (job, gang) in &before.all {
+        if log.gang(job).holds() {
+            continue;
+        }
+        for slot in &gang.slots {
+            let report = (job.clone(), gang.token, slot.worker.clone());
+            assert!(finals.contains(&report), "{report:?} is missing");
+        }
+    }
+}
+
 fn open(u: &mut Unstructured<'_>) -> Result<Log> {
     let mut log = Log::open(u.int_in_range(1..=4)?, u.int_in_range(1..=3)?);
     for name in WORKSPACES {
--- a/tests/gangs/main.rs
+++ b/tests/gangs/main.rs
@@ -4,4 +4,5 @@
 
 mod guarantee;
 mod interleave;
+mod keeper;
 mod log;
