--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -7,6 +7,7 @@
 use super::event::Now;
 use super::jobs;
 use super::jobs::Jobs;
+use super::keeper;
 use super::keeper::Keeper;
 use super::ledger::Ledger;
 use super::ledger::Staged;
@@ -263,7 +264,14 @@
                 return;
             }
             let (ledger, peers) = (&state.ledger, &state.peers);
-            state.keeper.tick(ctx, ledger, peers, now, effects);
+            let view = keeper::View {
+                ctx,
+                ledger,
+                peers,
+                now,
+                log_up: state.log_up,
+            };
+            state.keeper.tick(&view, effects);
             if state.log_up {
                 state.proposals.tick(ctx, ledger, peers, now, effects);
             }
