--- a/src/reducer/requests/sending.rs
+++ b/src/reducer/requests/sending.rs
@@ -36,9 +36,14 @@
 
     /// Sends queued requests, the most pressing first, while runners have room.
     pub(super) fn pump(&mut self, view: &View<'_>, effects: &mut Vec<Effect>) {
+        if !view.ready {
+            return;
+        }
         for pool in self.queues.pools() {
             while self.pump_one(view, &pool, effects) {}
         }
+        let waiting = self.queues.pools();
+        self.routing.note_backlogs(waiting, view.now.mono_ms);
     }
 
     /// Sends or gives up one request of a pool; tells whether there was one.
