fix(settings): list the keeper's two new intervals among the options

Cause: keeper.busy_ms and keeper.idle_ms came without a row in the table of options, so a settings file that named them was refused; the test that feeds spoiled settings found it. Measured: the test fails before with 'is not known here', and all tests pass after.

--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -131,7 +131,9 @@
     "gangs.age_ms" "ms" Number(1_000, DAY_MS), false, "The wait after which a queued gang gains a priority.";
     "gangs.rank_ms" "ms" Number(1, MINUTE_MS), false, "The delay before the next VM in line proposes in place of a silent one.";
     "gangs.batch" "gangs" Number(1, 1_024), false, "The most gangs that one round places.";
-    "keeper.sync_ms" "ms" Number(10, MINUTE_MS), false, "The time between two syncs of a worker that nothing changes for.";
+    "keeper.sync_ms" "ms" Number(10, MINUTE_MS), false, "The time between two syncs of a worker whose tasks all run.";
+    "keeper.busy_ms" "ms" Number(10, MINUTE_MS), false, "The time between two syncs of a worker that prepares or stops a task.";
+    "keeper.idle_ms" "ms" Number(10, MINUTE_MS), false, "The time between two syncs of a worker without tasks.";
     "keeper.call_ms" "ms" Number(10, MINUTE_MS), false, "The time in which a worker must answer a sync.";
     "keeper.lease_ms" "ms" Number(100, HOUR_MS), false, "The lease of a task; a worker stops a task whose lease lapsed.";
     "keeper.lost_ms" "ms" Number(50, HOUR_MS), false, "The silence after which a worker counts as lost.";
