--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod faults;
 pub mod report;
+pub mod requests;
 
 use crate::prelude::*;
 use serde::Serialize;
@@ -73,5 +74,5 @@
 
 /// Returns all parts, whose outcomes the report puts together.
 pub fn parts() -> Vec<Box<dyn Part>> {
-    Vec::new()
+    vec![Box::new(requests::Requests)]
 }
