fix(dispatch): leave a connection that went silent once a new one works

A connection that stays open and delivers nothing held its try to the deadline, and idle ones opened before it were handed out again. A read timeout was ruled out: a slow answer is legal. After liveness_ms (new option, 2 s) or eight usual service times a fresh connection is asked for its health within the share; if it answers, older idle ones are closed and an idempotent try ends as broken, to be tried again. Non-idempotent work waits to its deadline, as it may be running. If no room is left to compare, an idempotent try is given up after the second wait. Idle connections that were unused for liveness_ms are proven before use.

--- a/src/bench/requests/vm.rs
+++ b/src/bench/requests/vm.rs
@@ -151,6 +151,7 @@
                 runner: runner_name(runner),
                 addr: "127.0.0.1:9".into(),
                 left_ms: u64::MAX,
+                usual_ms: 0,
                 proven: false,
                 connections: 1,
             }));
--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -165,4 +165,5 @@
     "requests.cool_most" "ms" Number(1, HOUR_MS), false, "The longest cooldown of an upstream.";
     "requests.claim_ms" "ms" Number(10, MINUTE_MS), false, "The longest wait for a claim to be read back.";
     "requests.try_ms" "ms" Number(10, HOUR_MS), false, "The longest time of one try.";
+    "requests.liveness_ms" "ms" Number(10, HOUR_MS), false, "The silence after which a connection to an upstream is doubted.";
 }
--- a/src/configs/requests.rs
+++ b/src/configs/requests.rs
@@ -25,6 +25,8 @@
     pub claim_ms: u64,
     /// The longest time of one try.
     pub try_ms: u64,
+    /// The silence after which a connection to an upstream is doubted.
+    pub liveness_ms: u64,
 }
 
 impl Default for RequestsConfig {
@@ -39,6 +41,7 @@
             cool_most: 30_000,
             claim_ms: 3_000,
             try_ms: 60_000,
+            liveness_ms: 2_000,
         }
     }
 }
--- a/src/modules/dispatch.rs
+++ b/src/modules/dispatch.rs
@@ -10,6 +10,10 @@
 use super::exchange::Exchange;
 use super::exchange::Header;
 use super::exchange::Payload;
+use super::pool::Elsewhere;
+use super::pool::Link;
+use super::pool::Need;
+use super::pool::Pools;
 use crate::prelude::*;
 use crate::records::Kept;
 use crate::reducer::Effect;
@@ -24,116 +28,26 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 /// The largest answer of an upstream, in bytes.
 const ANSWER_MAX_BYTES: usize = 16 * 1_048_576;
 /// The largest answer that is kept for retries of its key, in bytes.
 const KEPT_MAX_BYTES: usize = 4_096;
-/// The time in which a connection must be made or prove that it lives, in milliseconds.
-const PROOF_MS: u64 = 1_000;
+/// A try that takes so many times the usual service time may be on a silent connection.
+const SILENT_FACTOR: u64 = 8;
 /// The header by which an upstream says that it is leaving and did not run the request.
 const LEAVING_HEADER: &str = "x-leaving";
 /// The header that names the request to the upstream, and comes back with its answer.
 const ID_HEADER: &str = "x-request-id";
 
-type Sender = SendRequest<Full<Bytes>>;
-
-/// One live connection, counted while it exists.
-#[derive(Debug)]
-struct Link {
-    sender: Sender,
-    _count: Count,
-}
-
-/// Counts a connection of an upstream until it is dropped.
-#[derive(Debug)]
-struct Count {
-    pools: Arc<Pools>,
-    addr: Name,
-}
-
-impl Drop for Count {
-    fn drop(&mut self) {
-        if let Some(pool) = self.pools.lock().get_mut(&self.addr) {
-            pool.open = pool.open.saturating_sub(1);
-        }
-    }
-}
-
-#[derive(Debug, Default)]
-struct Pool {
-    idle: Vec<Link>,
-    open: u32,
-}
-
-/// The connections to every upstream.
-#[derive(Debug, Default)]
-struct Pools {
-    all: Mutex<HashMap<Name, Pool>>,
-}
-
-impl Pools {
-    fn lock(&self) -> MutexGuard<'_, HashMap<Name, Pool>> {
-        self.all.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn take_idle(&self, addr: &Name) -> Option<Link> {
-        let mut dead = Vec::new();
-        let mut pools = self.lock();
-        let pool = pools.get_mut(addr)?;
-        let mut found = None;
-        while let Some(link) = pool.idle.pop() {
-            if link.sender.is_ready() {
-                found = Some(link);
-                break;
-            }
-            dead.push(link);
-        }
-        drop(pools);
-        drop(dead);
-        found
-    }
-
-    fn count(self: &Arc<Self>, addr: &Name, most: u32) -> Option<Count> {
-        let mut pools = self.lock();
-        let pool = pools.entry(addr.clone()).or_default();
-        if pool.open >= most {
-            return None;
-        }
-        pool.open += 1;
-        Some(Count {
-            pools: self.clone(),
-            addr: addr.clone(),
-        })
-    }
-
-    fn put_back(&self, addr: &Name, link: Link) {
-        if let Some(pool) = self.lock().get_mut(addr) {
-            pool.idle.push(link);
-        }
-    }
-
-    /// Closes the idle connections to an upstream, of which one was found silent.
-    fn retire(&self, addr: &Name) {
-        let retired = self
-            .lock()
-            .get_mut(addr)
-            .map(|pool| std::mem::take(&mut pool.idle));
-        drop(retired);
-    }
-}
-
 /// Identifies a try.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct TryId {
@@ -147,20 +61,29 @@
     engine: Engine,
     exchange: Arc<Exchange>,
     pools: Arc<Pools>,
+    liveness: Duration,
     tries: Arc<Mutex<HashMap<TryId, AbortHandle>>>,
 }
 
 impl Dispatcher {
     /// Makes a dispatcher without connections.
-    pub fn new(engine: Engine, exchange: Arc<Exchange>) -> Self {
+    ///
+    /// A connection that was silent for `liveness_ms` milliseconds is doubted.
+    pub fn new(engine: Engine, exchange: Arc<Exchange>, liveness_ms: u64) -> Self {
         Self {
             engine,
             exchange,
             pools: Arc::default(),
+            liveness: Duration::from_millis(liveness_ms),
             tries: Arc::default(),
         }
     }
 
+    /// Makes one try to its end.
+    pub async fn send(&self, dispatch: &Dispatch) -> TryEnd {
+        run(&self.pools, &self.exchange, dispatch, self.liveness).await
+    }
+
     fn start(&self, dispatch: Dispatch) {
         let id = TryId {
             req: dispatch.req.clone(),
@@ -169,11 +92,12 @@
         let engine = self.engine.clone();
         let exchange = self.exchange.clone();
         let pools = self.pools.clone();
+        let liveness = self.liveness;
         let tries = self.tries.clone();
         let own = id.clone();
         let mut open = lock(&self.tries);
         let task = tokio::spawn(async move {
-            let end = run(&pools, &exchange, &dispatch).await;
+            let end = run(&pools, &exchange, &dispatch, liveness).await;
             lock(&tries).remove(&own);
             let event = Event::TryEnd {
                 req: own.req,
@@ -204,84 +128,58 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn run(pools: &Arc<Pools>, exchange: &Exchange, dispatch: &Dispatch) -> TryEnd {
+async fn run(
+    pools: &Arc<Pools>,
+    exchange: &Exchange,
+    dispatch: &Dispatch,
+    liveness: Duration,
+) -> TryEnd {
     let Some(payload) = exchange.payload(&dispatch.req) else {
         return not_sent("the caller is gone");
     };
-    let limit = Duration::from_millis(dispatch.left_ms.max(1));
-    let link = match timeout(limit, connect(pools, dispatch)).await {
+    let need = Need {
+        addr: &dispatch.addr,
+        proven: dispatch.proven,
+        most: dispatch.connections,
+        liveness,
+    };
+    let end = Instant::now() + Duration::from_millis(dispatch.left_ms.max(1));
+    let link = match timeout_at(end, pools.connect(&need)).await {
         Ok(Ok(link)) => link,
-        Ok(Err(end)) => return end,
+        Ok(Err(cause)) => return not_sent(&cause),
         Err(_) => return not_sent("no connection in time"),
     };
-    match timeout(limit, send(pools, exchange, dispatch, &payload, link)).await {
-        Ok(end) => end,
-        Err(_) => {
+    let answer = send(pools, exchange, dispatch, &payload, link);
+    tokio::select! {
+        done = timeout_at(end, answer) => done.unwrap_or_else(|_| {
             pools.retire(&dispatch.addr);
             broken("no whole answer in time")
-        }
+        }),
+        () = silence(pools, dispatch, &need) => broken("the connection went silent"),
     }
 }
 
-/// Finds a connection; where it must be proven, one that has just answered.
-async fn connect(pools: &Arc<Pools>, dispatch: &Dispatch) -> Result<Link, TryEnd> {
-    while let Some(mut link) = pools.take_idle(&dispatch.addr) {
-        if !dispatch.proven || prove(&mut link.sender).await {
-            return Ok(link);
+/// Returns once a try is on a connection that delivers nothing while another one works.
+///
+/// A slow answer is legal, so only a try that may run again is ever given up, and only after
+/// several times the usual service time, or twice as long if every connection of the share is in
+/// use and none is left to compare with. The older idle connections are closed in any case.
+async fn silence(pools: &Arc<Pools>, dispatch: &Dispatch, need: &Need<'_>) {
+    let usual = Duration::from_millis(dispatch.usual_ms.saturating_mul(SILENT_FACTOR));
+    let wait = need.liveness.max(usual);
+    let mut crowded = false;
+    loop {
+        tokio::time::sleep(wait).await;
+        let found = pools.look_elsewhere(need).await;
+        let silent = match found {
+            Elsewhere::Answers => true,
+            Elsewhere::Silent => false,
+            Elsewhere::NoRoom => std::mem::replace(&mut crowded, true),
+        };
+        if silent && !dispatch.proven {
+            return;
         }
-        pools.retire(&dispatch.addr);
-    }
-    let Some(count) = pools.count(&dispatch.addr, dispatch.connections) else {
-        return Err(not_sent("all connections are in use"));
-    };
-    let limit = Duration::from_millis(PROOF_MS);
-    let mut sender = match timeout(limit, open(&dispatch.addr)).await {
-        Ok(Ok(sender)) => sender,
-        Ok(Err(cause)) => return Err(not_sent(&cause)),
-        Err(_) => return Err(not_sent("the connection is not made in time")),
-    };
-    if dispatch.proven && !prove(&mut sender).await {
-        return Err(not_sent("the new connection does not answer"));
     }
-    Ok(Link {
-        sender,
-        _count: count,
-    })
-}
-
-async fn open(addr: &str) -> Result<Sender, String> {
-    let stream = TcpStream::connect(addr)
-        .await
-        .map_err(|error| error.to_string())?;
-    drop(stream.set_nodelay(true));
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| error.to_string())?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("a connection to an upstream ended: {error}");
-        }
-    });
-    Ok(sender)
-}
-
-/// Tells whether a connection answers a harmless call now.
-async fn prove(sender: &mut Sender) -> bool {
-    let request = Request::get("/health")
-        .header("host", "upstream")
-        .body(Full::default());
-    let Ok(request) = request else {
-        return false;
-    };
-    let call = async {
-        sender.ready().await.ok()?;
-        let answer = sender.send_request(request).await.ok()?;
-        let fine = answer.status().is_success();
-        answer.into_body().collect().await.ok()?;
-        fine.then_some(())
-    };
-    let done = timeout(Duration::from_millis(PROOF_MS), call).await;
-    matches!(done, Ok(Some(())))
 }
 
 async fn send(
--- a/src/modules/mod.rs
+++ b/src/modules/mod.rs
@@ -15,6 +15,7 @@
 pub mod members;
 pub mod ops;
 pub mod peers;
+mod pool;
 pub mod process;
 pub mod tail;
 pub mod timings;
--- a/src/modules/process.rs
+++ b/src/modules/process.rs
@@ -224,7 +224,11 @@
     let entry = ctx.process == Process::Entry;
     let (dispatch, reply): (Box<dyn Carry>, Box<dyn Carry>) = match entry {
         true => (
-            Box::new(Dispatcher::new(engine.clone(), exchange.clone())),
+            Box::new(Dispatcher::new(
+                engine.clone(),
+                exchange.clone(),
+                ctx.settings.requests.liveness_ms,
+            )),
             Box::new(Replies {
                 exchange: exchange.clone(),
             }),
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -126,6 +126,8 @@
     pub addr: Name,
     /// The time left for the try, in milliseconds.
     pub left_ms: u64,
+    /// The usual service time of its kind, in milliseconds.
+    pub usual_ms: u64,
     /// Whether the connection must be proven live first, as for non-idempotent work.
     pub proven: bool,
     /// The most connections that this VM may hold to the upstream.
--- a/src/reducer/requests/sending.rs
+++ b/src/reducer/requests/sending.rs
@@ -120,6 +120,10 @@
             runner: runner.name.clone(),
             addr: runner.addr.clone(),
             left_ms,
+            usual_ms: self
+                .queues
+                .get(&found.kind.name)
+                .map_or(found.kind.service_ms, |queue| queue.service_ms()),
             proven: !found.kind.idempotent,
             connections: (u64::from(pool.connections) / vms.max(1)).max(1) as u32,
         };
