fix(keeper): let no two sides of a cut renew and count as lapsed one lease

Cause: a process without the log went on renewing while it heard any peer, and a process with the log counted a silent worker's tasks as lapsed by time alone. In a cut between regions both could happen to one worker: its gang would run on one side and be placed again on the other.

Ruled out: a lease of the keepers among themselves (it would be a second coordination service), and never counting a lapse (a gang of a dead worker would wait for ever).

Change: without the log a process renews only while it hears a quorum of the largest fleet and none of them has read further; a lapse is counted only by a process that hears a quorum that has read that the gang stops. Two quorums share a VM, so at most one of the two can be. The ledger keeps the offset at which a gang last changed its phase.

Measured: of the keeper's tests, the outage and lapse ones failed once the rule stood, since their lone placer is no quorum of 7; they now open one of three, and a lapse must not be reported before the peer has read the stop.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -48,6 +48,14 @@
     pub requests: RequestsConfig,
 }
 
+impl Settings {
+    /// Returns how many VMs are more than half of the largest fleet.
+    pub fn quorum(&self) -> u64 {
+        let most = self.requests.fleet + self.requests.spare;
+        most / 2 + 1
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/src/reducer/keeper/contact.rs
+++ b/src/reducer/keeper/contact.rs
@@ -1,4 +1,9 @@
-//! Whether this process may still renew leases.
+//! Whether this process may still renew leases, and whether it may count one as lapsed.
+//!
+//! Without the log a process goes on renewing only while it hears a quorum of the VMs and none of
+//! them has read further. A lease is counted as lapsed only by a process that hears a quorum
+//! which has read that the gang stops. Two quorums share a VM, so of the two sides of a cut never
+//! one renews what the other counts as lapsed.
 
 use super::View;
 use crate::prelude::*;
@@ -6,7 +11,7 @@
 /// Since when this process has been cut off or behind.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct Contact {
-    /// Since when neither log nor peer is heard, in milliseconds of monotonic time.
+    /// Since when neither the log nor a quorum is heard, in milliseconds of monotonic time.
     alone_ms: Option<u64>,
     behind: Option<Behind>,
 }
@@ -19,17 +24,14 @@
 }
 
 impl Contact {
-    /// Tells whether the log or a peer was heard lately, and whether this process has read what
+    /// Tells whether the log or a quorum was heard lately, and whether this process has read what
     /// a peer had read a while ago.
     pub(super) fn check(&mut self, view: &View<'_>) -> bool {
         let now_ms = view.now.mono_ms;
         let limit_ms = view.config().isolated_ms;
-        let mut alone = !view.log_up;
-        let mut control = 0;
-        for peer in view.peers.live(view.ctx, view.now) {
-            alone = false;
-            control = control.max(peer.beat.control);
-        }
+        let alone = !view.log_up && !hears_quorum(view, 0);
+        let live = view.peers.live(view.ctx, view.now);
+        let control = live.map(|peer| peer.beat.control).max().unwrap_or(0);
         if !alone {
             self.alone_ms = None;
         }
@@ -45,3 +47,12 @@
         !long(alone_ms) && !long(behind_ms)
     }
 }
+
+/// Tells whether a quorum of the VMs, this one among them, is heard and has read the control
+/// stream beyond `offset`.
+pub(super) fn hears_quorum(view: &View<'_>, offset: Offset) -> bool {
+    let live = view.peers.live(view.ctx, view.now);
+    let peers = live.filter(|peer| peer.beat.control > offset).count() as u64;
+    let own = u64::from(view.ledger.next > offset);
+    peers + own >= view.ctx.settings.quorum()
+}
--- a/src/reducer/keeper/mod.rs
+++ b/src/reducer/keeper/mod.rs
@@ -271,7 +271,8 @@
     for gang in judge::held_gangs(view.ledger, host) {
         let last = gang.reports.get(worker);
         let open = last.is_none_or(|last| !gangs::ended(*last));
-        if open && matches!(gang.phase, Phase::Stopping(_)) {
+        let stops = matches!(gang.phase, Phase::Stopping(_));
+        if open && stops && contact::hears_quorum(view, gang.turned) {
             let report = judge::Report {
                 state: MemberState::Lapsed,
                 kept_ms: 0,
--- a/src/reducer/ledger/gangs.rs
+++ b/src/reducer/ledger/gangs.rs
@@ -118,6 +118,8 @@
     pub submitted_ms: u64,
     /// The control offset of its submission.
     pub offset: Offset,
+    /// The control offset at which its phase last changed.
+    pub turned: Offset,
     /// The ledger's clock when its phase last changed, in milliseconds.
     pub since_ms: u64,
     /// The configuration offset in force at its last change of phase.
@@ -272,17 +274,38 @@
         Phase::Queued => end(ledger, origin, job, Ending::Cancelled),
         Phase::Preparing | Phase::Running | Phase::Stopping(After::Queue) => {
             let after = After::End(Ending::Cancelled);
-            stop(gang, after, origin.cfg, origin.at_ms);
+            gang.turn(Phase::Stopping(after), origin.into());
         }
         Phase::Stopping(After::End(_)) | Phase::Ended(_) => return Err(Void::Phase),
     }
     Ok(())
 }
 
-fn stop(gang: &mut Gang, after: After, cfg: Offset, at_ms: u64) {
-    gang.phase = Phase::Stopping(after);
-    gang.since_ms = at_ms;
-    gang.cfg = cfg;
+/// Where in the log a gang changes its phase.
+#[derive(Debug, Clone, Copy)]
+struct Turn {
+    offset: Offset,
+    cfg: Offset,
+    at_ms: u64,
+}
+
+impl From<&Origin> for Turn {
+    fn from(origin: &Origin) -> Self {
+        Self {
+            offset: origin.offset,
+            cfg: origin.cfg,
+            at_ms: origin.at_ms,
+        }
+    }
+}
+
+impl Gang {
+    fn turn(&mut self, phase: Phase, turn: Turn) {
+        self.phase = phase;
+        self.turned = turn.offset;
+        self.since_ms = turn.at_ms;
+        self.cfg = turn.cfg;
+    }
 }
 
 fn end(ledger: &mut Ledger, origin: &Origin, job: &Name, ending: Ending) {
@@ -290,9 +313,7 @@
     let Some(gang) = ledger.gangs.all.get_mut(job) else {
         return;
     };
-    gang.phase = Phase::Ended(ending);
-    gang.since_ms = origin.at_ms;
-    gang.cfg = origin.cfg;
+    gang.turn(Phase::Ended(ending), origin.into());
     gang.reports.clear();
     gang.marks.clear();
     ledger.gangs.queued.remove(job);
--- a/src/reducer/ledger/gangs/placing.rs
+++ b/src/reducer/ledger/gangs/placing.rs
@@ -9,7 +9,6 @@
 use super::end;
 use super::find;
 use super::fit;
-use super::stop;
 use super::stoppable;
 use crate::model::Job;
 use crate::prelude::*;
@@ -50,6 +49,7 @@
         start_ms: 0,
         submitted_ms: origin.at_ms,
         offset: origin.offset,
+        turned: origin.offset,
         since_ms: origin.at_ms,
         cfg: origin.cfg,
         waiter: None,
@@ -90,7 +90,6 @@
     ledger.gangs.queued.remove(job);
     ledger.gangs.holding.insert(job.clone());
     let gang = find(ledger, job)?;
-    gang.phase = Phase::Preparing;
     gang.token = origin.offset;
     gang.attempt += 1;
     gang.slots = slots.to_vec();
@@ -100,8 +99,7 @@
     gang.marks.clear();
     gang.started = false;
     gang.waiter = None;
-    gang.since_ms = origin.at_ms;
-    gang.cfg = origin.cfg;
+    gang.turn(Phase::Preparing, origin.into());
     Ok(())
 }
 
@@ -123,7 +121,7 @@
         return Err(Void::Policy(format!("{} cannot be stopped", gang.job.kind)));
     }
     gang.waiter = waiter;
-    stop(gang, After::Queue, origin.cfg, origin.at_ms);
+    gang.turn(Phase::Stopping(After::Queue), origin.into());
     Ok(())
 }
 
--- a/src/reducer/ledger/gangs/reports.rs
+++ b/src/reducer/ledger/gangs/reports.rs
@@ -6,10 +6,10 @@
 use super::Gang;
 use super::OWN_FAULT_WORKERS;
 use super::Phase;
+use super::Turn;
 use super::end;
 use super::find;
 use super::release;
-use super::stop;
 use crate::prelude::*;
 use crate::records::Entry;
 use crate::records::MemberState;
@@ -22,6 +22,7 @@
 /// Takes down the gangs of a worker that was lost.
 pub(in crate::reducer::ledger) fn follow_worker(
     ledger: &mut Ledger,
+    origin: &Origin,
     worker: &Name,
     moved: &mut Vec<Name>,
 ) {
@@ -37,7 +38,7 @@
         };
         if matches!(gang.phase, Phase::Preparing | Phase::Running) {
             let after = after_loss(gang, "a worker was lost");
-            stop(gang, after, ledger.catalog.next, ledger.clock_ms);
+            gang.turn(Phase::Stopping(after), origin.into());
             moved.push(job.clone());
         }
     }
@@ -91,16 +92,14 @@
 
 fn follow(ledger: &mut Ledger, origin: &Origin, job: &Name, state: MemberState) -> Verdict {
     let gang = find(ledger, job)?;
-    let (cfg, at_ms) = (origin.cfg, origin.at_ms);
+    let turn = Turn::from(origin);
     match (&gang.phase, state) {
         (Phase::Preparing, MemberState::Ready)
             if all(gang, |state| state == MemberState::Ready) =>
         {
-            gang.phase = Phase::Running;
+            gang.turn(Phase::Running, turn);
             gang.started = true;
-            gang.since_ms = at_ms;
-            gang.start_ms = at_ms;
-            gang.cfg = cfg;
+            gang.start_ms = turn.at_ms;
         }
         (Phase::Running, MemberState::Done) if all(gang, |state| state == MemberState::Done) => {
             finish(ledger, origin, job);
@@ -109,12 +108,12 @@
         | (Phase::Running, MemberState::Done) => {}
         (Phase::Preparing | Phase::Running, MemberState::Failed) => {
             let after = after_fault(gang);
-            stop(gang, after, cfg, at_ms);
+            gang.turn(Phase::Stopping(after), turn);
             absolve(ledger, job);
         }
         (Phase::Preparing | Phase::Running, _) => {
             let after = after_loss(gang, "a member was lost");
-            stop(gang, after, cfg, at_ms);
+            gang.turn(Phase::Stopping(after), turn);
             absolve(ledger, job);
         }
         _ => {}
@@ -165,9 +164,7 @@
     }
     gang.reports.clear();
     gang.marks.clear();
-    gang.phase = Phase::Queued;
-    gang.since_ms = origin.at_ms;
-    gang.cfg = origin.cfg;
+    gang.turn(Phase::Queued, origin.into());
     ledger.gangs.queued.insert(job.clone());
 }
 
--- a/src/reducer/ledger/mod.rs
+++ b/src/reducer/ledger/mod.rs
@@ -221,7 +221,7 @@
                 reason,
             } => {
                 self.fleet.report(worker, *state, reason, origin)?;
-                gangs::follow_worker(self, worker, moved);
+                gangs::follow_worker(self, origin, worker, moved);
                 Ok(())
             }
             _ => gangs::rule(self, origin, entry, moved),
--- a/tests/gangs/keeper.rs
+++ b/tests/gangs/keeper.rs
@@ -31,10 +31,18 @@
 }
 
 impl Placer {
+    /// Opens one of three placers, two of which are a quorum.
     fn open(log: &Log) -> Self {
+        Self::open_of(log, 3)
+    }
+
+    fn open_of(log: &Log, fleet: u64) -> Self {
         let mut state = State::default();
         state.ledger = log.ledger.clone();
-        let ctx = Context::new(Process::Placer, Settings::default(), 1);
+        let mut settings = Settings::default();
+        settings.requests.fleet = fleet;
+        settings.requests.spare = 0;
+        let ctx = Context::new(Process::Placer, settings, 1);
         let now = Now {
             mono_ms: 0,
             wall_ms: START_MS,
@@ -142,6 +150,18 @@
     }
 }
 
+#[test]
+fn a_minority_without_the_log_renews_no_lease() {
+    let mut placer = Placer::open_of(&one_worker(), 7);
+    placer.event(Event::Log { up: false });
+    for _ in 0..6 {
+        placer.peer(placer.state.ledger.next);
+        placer.run(2_000, true);
+    }
+    placer.peer(placer.state.ledger.next);
+    assert_eq!(0, syncs(&placer.run(2_000, true)));
+}
+
 #[test]
 fn a_process_that_stays_behind_a_peer_renews_no_lease() {
     let mut placer = Placer::open(&one_worker());
@@ -166,7 +186,13 @@
     log.append(actual[0].clone()).unwrap();
     assert!(matches!(log.gang("s").phase, Phase::Stopping(_)));
     placer.state.ledger = log.ledger.clone();
-    let actual = entries(&placer.run(25_500, false));
+    let unread = placer.state.ledger.next - 1;
+    for control in [0, unread] {
+        placer.peer(control);
+        assert_eq!(Vec::<Entry>::new(), entries(&placer.run(25_500, false)));
+    }
+    placer.peer(placer.state.ledger.next);
+    let actual = entries(&placer.run(500, false));
     let token = log.gang("s").token;
     let expected = Entry::Member {
         job: "s".into(),
