feat(bench): replay seeded traces of gangs through the reducer

Whether the planner is any good was not measured. A replay with a virtual clock plays the log and the workers (true run times, start latency, checkpoints, usage lag, crashes, freezes, workers that fail everything, cancellations) against the placer's real step and ledger; baselines fifo and backfill choose proposals through a trait object.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,6 +1,11 @@
 //! Measures the decisions and their cost by replays with a virtual clock.
 
+pub mod measures;
+pub mod policies;
+pub mod replay;
 pub mod report;
+pub mod trace;
+pub mod workers;
 
 use crate::prelude::*;
 use serde::Serialize;
@@ -72,5 +77,5 @@
 
 /// Returns all parts, whose outcomes the report puts together.
 pub fn parts() -> Vec<Box<dyn Part>> {
-    Vec::new()
+    vec![Box::new(replay::GangPart)]
 }
--- /dev/null
+++ b/src/bench/policies.rs
@@ -0,0 +1,134 @@
+//! The baselines that the project's own policy is measured against.
+
+use super::Policy;
+use crate::model::Adjacency;
+use crate::prelude::*;
+use crate::records::Entry;
+use crate::records::Slot;
+use crate::reducer::ledger::Ledger;
+use crate::reducer::ledger::fleet::Host;
+use crate::reducer::ledger::gangs::Gang;
+use crate::reducer::ledger::gangs::stoppable;
+use crate::reducer::plan::guarantee;
+use crate::reducer::plan::pack::lowest;
+use crate::reducer::plan::standing::Standing;
+use crate::reducer::plan::standing::domain;
+use std::collections::BTreeMap;
+
+/// Chooses what is proposed in place of the project's own planner.
+pub trait Chooser {
+    /// Returns the proposals for the queued gangs.
+    fn propose(&self, ledger: &Ledger) -> Vec<Entry>;
+}
+
+/// Returns the chooser of a policy; nothing for the planner of the reducer itself.
+pub fn chooser(policy: Policy) -> Option<Box<dyn Chooser>> {
+    match policy {
+        Policy::Trefoil => None,
+        Policy::Fifo => Some(Box::new(FirstFit { skips: false })),
+        Policy::Backfill => Some(Box::new(FirstFit { skips: true })),
+    }
+}
+
+/// First come, first fit.
+#[derive(Debug)]
+struct FirstFit {
+    /// Whether a gang that does not fit lets others pass.
+    skips: bool,
+}
+
+impl Chooser for FirstFit {
+    fn propose(&self, ledger: &Ledger) -> Vec<Entry> {
+        let waiting = ledger.gangs.queued.iter();
+        let mut waiting: Vec<&Gang> = waiting
+            .filter_map(|job| ledger.gangs.all.get(job))
+            .collect();
+        waiting.sort_by_key(|gang| (gang.submitted_ms, gang.job.id.clone()));
+        let mut trial = Trial {
+            hosts: ledger.fleet.hosts.clone(),
+            standing: ledger.gangs.standing.clone(),
+        };
+        let mut entries = Vec::new();
+        for gang in waiting {
+            if guarantee::check_quota(ledger, &gang.job).is_err() {
+                continue;
+            }
+            let Some(slots) = first_fit(ledger, &mut trial, gang) else {
+                if self.skips {
+                    continue;
+                }
+                break;
+            };
+            entries.push(Entry::Place {
+                job: gang.job.id.clone(),
+                attempt: gang.attempt,
+                slots,
+            });
+        }
+        entries
+    }
+}
+
+/// What a baseline changes while it chooses.
+#[derive(Debug, Clone)]
+struct Trial {
+    hosts: BTreeMap<Name, Host>,
+    standing: Standing,
+}
+
+fn first_fit(ledger: &Ledger, trial: &mut Trial, gang: &Gang) -> Option<Vec<Slot>> {
+    let job = &gang.job;
+    let firm = !stoppable(ledger.catalog.kind(&job.kind));
+    let mut groups: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
+    for name in trial.hosts.keys() {
+        let group = domain(&ledger.fleet, job.adjacency, name)?;
+        groups.entry(group).or_default().push(name.clone());
+    }
+    for group in groups.values() {
+        let Some(slots) = fill(trial, gang, group) else {
+            continue;
+        };
+        let covers = trial.standing.cover(&ledger.fleet, &job.workspace, &slots);
+        if firm && covers.is_none() {
+            continue;
+        }
+        for slot in &slots {
+            if let Some(host) = trial.hosts.get_mut(&slot.worker) {
+                host.held |= slot.mask;
+                host.held_cores += job.cores;
+                host.held_gb += job.memory_gb;
+            }
+        }
+        return Some(slots);
+    }
+    None
+}
+
+fn fill(trial: &Trial, gang: &Gang, group: &[Name]) -> Option<Vec<Slot>> {
+    let job = &gang.job;
+    let mut slots = Vec::new();
+    for name in group {
+        let host = &trial.hosts[name];
+        let mut free = host.free();
+        for _ in 0..host.room(job) {
+            if slots.len() == job.members as usize {
+                return Some(slots);
+            }
+            let mask = lowest(free, job.accelerators);
+            free &= !mask;
+            slots.push(Slot {
+                worker: name.clone(),
+                mask,
+            });
+        }
+    }
+    (slots.len() == job.members as usize).then_some(slots)
+}
+
+/// Returns the adjacency with which a policy submits a gang.
+pub fn submitted(policy: Policy, adjacency: Adjacency) -> Adjacency {
+    match policy {
+        Policy::Backfill => Adjacency::Any,
+        _ => adjacency,
+    }
+}
--- /dev/null
+++ b/src/bench/trace.rs
@@ -0,0 +1,331 @@
+//! Seeded traces of gangs: who submits what and when, how long it truly runs, and what fails.
+
+use super::Deployment;
+use crate::model::Adjacency;
+use crate::model::Job;
+use crate::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use serde_json::Value;
+use serde_json::json;
+use std::collections::BTreeMap;
+
+/// The length of the steady phase, in milliseconds.
+pub const STEADY_MS: u64 = 3_600_000;
+/// The length of the burst phase, in milliseconds.
+pub const BURST_MS: u64 = 900_000;
+/// The length of the fault phase, in milliseconds.
+pub const FAULT_MS: u64 = 3_600_000;
+/// The workers of a deployment.
+pub const WORKERS: usize = 50;
+/// The workers of a rack.
+pub const RACK_WORKERS: usize = 8;
+/// The accelerators of a worker.
+pub const WORKER_ACCELERATORS: u32 = 8;
+
+/// One gang of a trace.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TraceJob {
+    /// What is submitted.
+    pub job: Job,
+    /// When, in milliseconds from the start.
+    pub at_ms: u64,
+    /// Its true run time in milliseconds.
+    pub true_ms: u64,
+    /// Whether it always fails by its own fault.
+    pub faulty: bool,
+    /// When its caller cancels it, if that happens before it ends.
+    pub cancel_ms: Option<u64>,
+}
+
+/// What befalls a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Upset {
+    /// It loses all tasks and answers nothing for a while.
+    Crash,
+    /// It does nothing for a while, and then goes on.
+    Freeze,
+    /// It fails all tasks that it starts.
+    Fail,
+}
+
+/// A fault of one worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TraceFault {
+    /// The worker.
+    pub worker: Name,
+    /// What befalls it.
+    pub upset: Upset,
+    /// When, in milliseconds from the start.
+    pub at_ms: u64,
+    /// Until when.
+    pub end_ms: u64,
+}
+
+/// A whole trace.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Trace {
+    /// The configuration records.
+    pub config: Vec<String>,
+    /// The gangs, in the order of their submission.
+    pub jobs: Vec<TraceJob>,
+    /// The faults of workers.
+    pub faults: Vec<TraceFault>,
+    /// When the last phase ends, in milliseconds from the start.
+    pub end_ms: u64,
+}
+
+/// A kind of gang with its share of the accelerator time and its sizes.
+struct Class {
+    kind: &'static str,
+    share_pct: u64,
+    median_ms: u64,
+    sizes: &'static [Size],
+}
+
+/// The size of a gang.
+struct Size {
+    members: u32,
+    accelerators: u32,
+    adjacency: Adjacency,
+}
+
+const fn size(members: u32, accelerators: u32, adjacency: Adjacency) -> Size {
+    Size {
+        members,
+        accelerators,
+        adjacency,
+    }
+}
+
+const LONG: &[Size] = &[
+    size(1, 4, Adjacency::Worker),
+    size(1, 8, Adjacency::Worker),
+    size(1, 8, Adjacency::Worker),
+    size(2, 8, Adjacency::Rack),
+    size(4, 8, Adjacency::Rack),
+];
+const SMALL: &[Size] = &[
+    size(1, 1, Adjacency::Any),
+    size(1, 2, Adjacency::Worker),
+    size(4, 1, Adjacency::Centre),
+];
+const URGENT: &[Size] = &[size(1, 4, Adjacency::Worker), size(1, 8, Adjacency::Worker)];
+const SEALED: &[Size] = &[size(1, 2, Adjacency::Worker), size(1, 4, Adjacency::Worker)];
+
+/// Makes the trace of a deployment; the same seed gives the same trace.
+pub fn trace(deployment: Deployment, seed: u64) -> Trace {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let classes = classes(deployment);
+    let workspaces = workspaces(deployment);
+    let mut trace = Trace {
+        config: config(deployment, &classes, &workspaces),
+        end_ms: STEADY_MS + BURST_MS + FAULT_MS,
+        ..Trace::default()
+    };
+    let phases = [
+        (0, STEADY_MS, 70),
+        (STEADY_MS, STEADY_MS + BURST_MS, 200),
+        (STEADY_MS + BURST_MS, trace.end_ms, 65),
+    ];
+    let mut biases = BTreeMap::new();
+    for (from_ms, to_ms, load_pct) in phases {
+        for class in &classes {
+            let span_ms = to_ms - from_ms;
+            let capacity = u64::from(WORKER_ACCELERATORS) * WORKERS as u64;
+            let mut left = capacity * span_ms * load_pct / 100 * class.share_pct / 100;
+            loop {
+                let made = job(&mut rng, class, &workspaces, &mut biases);
+                let work = made.true_ms * crate::reducer::plan::guarantee::size(&made.job);
+                if work > left {
+                    break;
+                }
+                left -= work;
+                let at_ms = rng.random_range(from_ms..to_ms);
+                trace.jobs.push(TraceJob { at_ms, ..made });
+            }
+        }
+    }
+    trace.jobs.sort_by_key(|one| one.at_ms);
+    for (i, one) in trace.jobs.iter_mut().enumerate() {
+        one.job.id = format!("{}-{i}", one.job.kind).into();
+    }
+    cancel_wave(&mut rng, &mut trace);
+    faults(&mut rng, &mut trace);
+    trace
+}
+
+fn classes(deployment: Deployment) -> [Class; 4] {
+    let names = match deployment {
+        Deployment::Instituto => [
+            "relief_scan",
+            "erosion_sweep",
+            "urgent_scan",
+            "sealed_entry",
+        ],
+        Deployment::Atlas => [
+            "annual_ledger",
+            "payroll_run",
+            "urgent_ledger",
+            "sealed_invoice",
+        ],
+    };
+    let class = |i: usize, share_pct, median_ms, sizes| Class {
+        kind: names[i],
+        share_pct,
+        median_ms,
+        sizes,
+    };
+    [
+        class(0, 62, 360_000, LONG),
+        class(1, 26, 120_000, SMALL),
+        class(2, 4, 60_000, URGENT),
+        class(3, 8, 120_000, SEALED),
+    ]
+}
+
+/// A workspace of a trace: its share of the work and its guarantees.
+struct Owner {
+    name: &'static str,
+    share_pct: u64,
+    shapes: Vec<Value>,
+}
+
+fn workspaces(deployment: Deployment) -> [Owner; 4] {
+    let names = match deployment {
+        Deployment::Instituto => ["north", "coast", "judges", "festival"],
+        Deployment::Atlas => ["ledgers", "schools", "cooperatives", "counter"],
+    };
+    let shape = |accelerators: u32, adjacency: &str, count: u32| json!({"accelerators": accelerators, "adjacency": adjacency, "count": count});
+    let owner = |i: usize, share_pct, shapes| Owner {
+        name: names[i],
+        share_pct,
+        shapes,
+    };
+    [
+        owner(0, 45, vec![shape(32, "rack", 2), shape(4, "worker", 4)]),
+        owner(1, 30, vec![shape(16, "rack", 2), shape(4, "worker", 4)]),
+        owner(2, 15, vec![shape(8, "worker", 2), shape(4, "worker", 2)]),
+        owner(3, 10, vec![shape(8, "worker", 2), shape(4, "worker", 2)]),
+    ]
+}
+
+fn job(
+    rng: &mut Pcg64,
+    class: &Class,
+    owners: &[Owner],
+    biases: &mut BTreeMap<(&'static str, &'static str), f64>,
+) -> TraceJob {
+    let mut draw = rng.random_range(0..100);
+    let found = owners.iter().find(|owner| {
+        let hit = draw < owner.share_pct;
+        draw = draw.saturating_sub(owner.share_pct);
+        hit
+    });
+    let owner = found.unwrap_or(&owners[0]);
+    let size = &class.sizes[rng.random_range(0..class.sizes.len())];
+    // Run times spread by a factor of 4 both ways around the median.
+    let spread = 4_f64.powf(rng.random_range(-1.0..1.0));
+    let true_ms = (class.median_ms as f64 * spread) as u64;
+    let bias = *biases
+        .entry((owner.name, class.kind))
+        .or_insert_with(|| 5_f64.powf(rng.random_range(-1.0..1.0)));
+    let off = (bias * 2_f64.powf(rng.random_range(-1.0..1.0))).clamp(0.1, 10.0);
+    TraceJob {
+        job: Job {
+            id: "".into(),
+            workspace: owner.name.into(),
+            kind: class.kind.into(),
+            members: size.members,
+            accelerators: size.accelerators,
+            cores: 6 * size.accelerators,
+            memory_gb: 12 * size.accelerators,
+            adjacency: size.adjacency,
+            run_ms: ((true_ms as f64 * off) as u64).max(1),
+        },
+        at_ms: 0,
+        true_ms,
+        faulty: rng.random_ratio(1, 50),
+        cancel_ms: None,
+    }
+}
+
+/// Cancels a third of what was submitted shortly before one moment of the fault phase.
+fn cancel_wave(rng: &mut Pcg64, trace: &mut Trace) {
+    let wave_ms = STEADY_MS + BURST_MS + FAULT_MS / 4;
+    for one in &mut trace.jobs {
+        let lately = (wave_ms.saturating_sub(600_000)..wave_ms).contains(&one.at_ms);
+        if lately && rng.random_ratio(1, 3) {
+            one.cancel_ms = Some(wave_ms + rng.random_range(0..2_000));
+        }
+    }
+}
+
+fn faults(rng: &mut Pcg64, trace: &mut Trace) {
+    let from_ms = STEADY_MS + BURST_MS;
+    let upsets = [
+        (Upset::Fail, FAULT_MS),
+        (Upset::Fail, FAULT_MS / 2),
+        (Upset::Crash, 120_000),
+        (Upset::Crash, 300_000),
+        (Upset::Freeze, 8_000),
+        (Upset::Freeze, 20_000),
+        (Upset::Freeze, 90_000),
+    ];
+    for (upset, span_ms) in upsets {
+        let latest_ms = from_ms + FAULT_MS / 2;
+        let at_ms = rng.random_range(from_ms..latest_ms);
+        trace.faults.push(TraceFault {
+            worker: worker_name(rng.random_range(0..WORKERS)),
+            upset,
+            at_ms,
+            end_ms: at_ms + span_ms,
+        });
+    }
+}
+
+fn worker_name(i: usize) -> Name {
+    format!("worker-{:02}", i).into()
+}
+
+fn config(deployment: Deployment, classes: &[Class], owners: &[Owner]) -> Vec<String> {
+    let (cores, memory_gb, completion) = match deployment {
+        Deployment::Instituto => (130, 250, 80),
+        Deployment::Atlas => (60, 130, 20),
+    };
+    let mut objects = vec![
+        ("pool/main".to_owned(), json!({})),
+        ("weights/main".to_owned(), json!({"completion": completion})),
+    ];
+    for (i, class) in classes.iter().enumerate() {
+        let priority = ["normal", "patient", "urgent", "normal"][i];
+        let body = json!({"pool": "main", "priority": priority, "deadline_ms": 86_400_000,
+            "idempotent": i == 1, "checkpoint": i == 0 || i == 2});
+        objects.push((format!("kind/{}", class.kind), body));
+    }
+    for first in (0..WORKERS).step_by(RACK_WORKERS) {
+        let rack = first / RACK_WORKERS;
+        let last = (first + RACK_WORKERS).min(WORKERS);
+        let workers = (first..last).map(|i| {
+            json!({"name": &*worker_name(i), "addr": "127.0.0.1:1", "cores": cores,
+                "memory_gb": memory_gb, "accelerators": WORKER_ACCELERATORS})
+        });
+        let workers: Vec<Value> = workers.collect();
+        let centre = format!("centre-{}", rack % 3);
+        let body = json!({"centre": centre, "workers": workers});
+        objects.push((format!("rack/rack-{rack}"), body));
+    }
+    let kinds: Vec<&str> = classes.iter().map(|class| class.kind).collect();
+    for owner in owners {
+        let body = json!({"quota": 400, "kinds": kinds, "guarantees": owner.shapes});
+        objects.push((format!("workspace/{}", owner.name), body));
+    }
+    let numbered = objects.into_iter().enumerate();
+    let records = numbered.map(|(i, (object, body))| {
+        json!({"schema": 2, "change": format!("change-{i}"), "object": object,
+            "replaces": 0, "body": body})
+        .to_string()
+    });
+    records.collect()
+}
