fix(log): split batches by bytes, and be unready while behind the log

A batch over 1 MiB was refused with 413 and tried again for ever, which stopped every later append; a process that retention had passed, or whose next record waited for a configuration record, stayed ready with an old view; a page that lay in the socket while the process was paused counted as the present end of the log.

Now entries are weighed and a batch takes at most 1,000,000 bytes of them, what fits no record is dropped, counted and said; passing by retention and a wait of 1 s for configuration make the process unready; an answer that took longer than a read may take proves no end of the log.

--- a/src/modules/append.rs
+++ b/src/modules/append.rs
@@ -26,7 +26,9 @@
 use tokio::task::JoinHandle;
 
 /// The most entries that wait for the log.
-const ENTRIES_MAX: usize = 16_384;
+pub const ENTRIES_MAX: usize = 16_384;
+/// The most bytes of the entries of one batch, which leaves room for the rest of its record.
+pub const BATCH_MAX_BYTES: usize = 1_000_000;
 
 /// Hands entries to the appending task.
 #[derive(Debug, Clone)]
@@ -63,6 +65,14 @@
     seq: u64,
     position: watch::Receiver<Position>,
     pending: Arc<AtomicUsize>,
+    rest: Option<Given>,
+}
+
+/// What was given to be appended, with its size.
+#[derive(Debug, Default)]
+struct Given {
+    entry: Option<Entry>,
+    bytes: usize,
 }
 
 /// Makes the handle that entries are given to.
@@ -89,31 +99,63 @@
         seq: 0,
         position,
         pending,
+        rest: None,
     };
     tokio::spawn(appender.run(entries))
 }
 
 impl Appender {
     async fn run(mut self, mut entries: mpsc::Receiver<Option<Entry>>) {
-        while let Some(first) = entries.recv().await {
-            let config = &self.ctx.settings.log;
+        loop {
+            let first = match self.rest.take() {
+                Some(rest) => rest,
+                None => match entries.recv().await {
+                    Some(entry) => self.weigh(entry),
+                    None => return,
+                },
+            };
+            let group_ms = self.ctx.settings.log.group_ms;
+            tokio::time::sleep(Duration::from_millis(group_ms)).await;
             let mut taken = 1;
-            let mut batch: Vec<Entry> = first.into_iter().collect();
-            tokio::time::sleep(Duration::from_millis(config.group_ms)).await;
-            while batch.len() < config.group_entries as usize {
-                match entries.try_recv() {
-                    Ok(entry) => {
-                        taken += 1;
-                        batch.extend(entry);
-                    }
-                    Err(_) => break,
+            let mut bytes = first.bytes;
+            let mut batch: Vec<Entry> = first.entry.into_iter().collect();
+            while batch.len() < self.ctx.settings.log.group_entries as usize {
+                let Ok(entry) = entries.try_recv() else {
+                    break;
+                };
+                let given = self.weigh(entry);
+                if bytes + given.bytes > BATCH_MAX_BYTES {
+                    self.rest = Some(given);
+                    break;
                 }
+                taken += 1;
+                bytes += given.bytes;
+                batch.extend(given.entry);
             }
             self.append(batch).await;
             self.pending.fetch_sub(taken, Ordering::AcqRel);
         }
     }
 
+    /// Measures an entry; one that fits no record is dropped, counted and said.
+    fn weigh(&self, entry: Option<Entry>) -> Given {
+        let Some(entry) = entry else {
+            return Given::default();
+        };
+        let bytes = serde_json::to_vec(&entry).map_or(usize::MAX, |text| text.len() + 1);
+        if bytes <= BATCH_MAX_BYTES {
+            return Given {
+                entry: Some(entry),
+                bytes,
+            };
+        }
+        metrics::counter!("append_dropped").increment(1);
+        let note = Note::new(&events::APPEND_UNCERTAIN, &self.ctx.writer, 0);
+        note.with("cause", format!("an entry of {bytes} bytes fits no record"))
+            .log();
+        Given::default()
+    }
+
     async fn append(&mut self, entries: Vec<Entry>) {
         self.seq += 1;
         let batch = Batch {
--- a/src/modules/tail.rs
+++ b/src/modules/tail.rs
@@ -11,11 +11,14 @@
 use crate::records::CONTROL_SCHEMA;
 use crate::reducer::Event;
 use std::time::Duration;
+use std::time::Instant;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// The wait after a failed read, in milliseconds.
 const RETRY_MS: u64 = 100;
+/// The wait for a configuration record after which the process counts as out of date.
+const CONFIG_WAIT: Duration = Duration::from_secs(1);
 
 /// How far a process has read.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -95,6 +98,7 @@
 
     async fn follow_control(&self, mut next: Offset) {
         loop {
+            let asked = Instant::now();
             let page = self.read(CONTROL_STREAM, next).await;
             let Some(page) = page else {
                 self.engine.tell(Event::Log { up: false }).await;
@@ -105,7 +109,8 @@
                 next = record.offset + 1;
                 self.pass_on(record.offset, &record.data).await;
             }
-            if next >= end && !self.engine.tell(Event::Log { up: true }).await {
+            let fresh = asked.elapsed() <= self.patience();
+            if next >= end && fresh && !self.engine.tell(Event::Log { up: true }).await {
                 return;
             }
         }
@@ -135,10 +140,24 @@
         });
     }
 
+    /// Waits until the configuration is read up to `cfg`; a long wait makes the process unready.
     async fn wait_for_config(&self, cfg: Offset) {
         let mut position = self.position.subscribe();
-        let reached = position.wait_for(|position| position.config >= cfg);
-        drop(reached.await);
+        loop {
+            let reached = position.wait_for(|position| position.config >= cfg);
+            if tokio::time::timeout(CONFIG_WAIT, reached).await.is_ok() {
+                return;
+            }
+            log::warn!("a control record waits for configuration {cfg}");
+            self.engine.tell(Event::Woke).await;
+        }
+    }
+
+    /// Returns the longest time of a read; an answer that took longer may have waited here while
+    /// the process was paused, and its end of the log is not the present one.
+    fn patience(&self) -> Duration {
+        let config = &self.ctx.settings.log;
+        Duration::from_millis(config.poll_ms + config.call_ms)
     }
 
     /// Reads a page; nothing if the log cannot be reached or no longer has the records.
@@ -149,6 +168,7 @@
             Ok(page) if page.first > next => {
                 log::error!("records {next} to {} of {stream} are gone", page.first);
                 self.position.send_modify(|position| position.passed = true);
+                self.engine.tell(Event::Woke).await;
                 pause().await;
                 None
             }
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -186,6 +186,6 @@
     },
     /// A planned stop began.
     Drain,
-    /// The process was paused for so long that what it knows may be out of date.
+    /// What the process knows may be out of date: it was paused, or it lags behind the log.
     Woke,
 }
