fix(checkpoint): write by records or time on any tick, and serialize off the reducer's task

A checkpoint was asked for only at the one record whose offset is a multiple of checkpoint_every, by whoever ranked first at that moment: a placer that died there skipped 2,000 records, and a quiet log could outlive its retention. Now each placer counts the records and the time (new option checkpoint_ms, 10 min) since its last one and the first in line writes on the next tick. The ledger is cloned on the reducer's task and serialized elsewhere; a chunk is tried for 60 s instead of 2.5 s.

Retention by bytes is not watched.

--- a/src/configs/log.rs
+++ b/src/configs/log.rs
@@ -24,6 +24,8 @@
     pub retry_ms: u64,
     /// The control records between two checkpoints.
     pub checkpoint_every: u64,
+    /// The longest time between two checkpoints while records come.
+    pub checkpoint_ms: u64,
 }
 
 impl Default for LogConfig {
@@ -37,6 +39,7 @@
             group_entries: 256,
             retry_ms: 200,
             checkpoint_every: 2_000,
+            checkpoint_ms: 600_000,
         }
     }
 }
--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -147,6 +147,7 @@
     "log.group_entries" "entries" Number(1, 1_024), false, "The most entries of one append.";
     "log.retry_ms" "ms" Number(1, MINUTE_MS), false, "The wait before an uncertain append is settled.";
     "log.checkpoint_every" "records" Number(1, 1_000_000), false, "The control records between two checkpoints.";
+    "log.checkpoint_ms" "ms" Number(100, HOUR_MS), false, "The longest time between two checkpoints while records come.";
     "ops.entry_listen" "" Listen, false, "The operators' address of the entry process.";
     "ops.placer_listen" "" Listen, false, "The operators' address of the placer process.";
     "ops.level" "" Level, false, "The least serious log level.";
--- a/src/modules/checkpoint.rs
+++ b/src/modules/checkpoint.rs
@@ -26,7 +26,7 @@
 /// The size of a chunk, in bytes of text before it is escaped.
 const CHUNK_BYTES: usize = 262_144;
 /// The tries at one chunk.
-const TRIES: u32 = 5;
+const TRIES: u32 = 120;
 /// The wait after a failed try, in milliseconds.
 const RETRY_MS: u64 = 500;
 /// The records of the stream that are read at once.
@@ -78,26 +78,6 @@
             busy: Arc::new(AtomicBool::new(false)),
         }
     }
-
-    fn cut(&self, ledger: &Ledger) -> Vec<Chunk> {
-        let Ok(text) = serde_json::to_string(ledger) else {
-            return Vec::new();
-        };
-        let hash = xxh3_64(text.as_bytes());
-        let parts = split(&text);
-        let count = parts.len() as u32;
-        let chunks = parts.into_iter().enumerate().map(|(i, data)| Chunk {
-            schema: CHECKPOINT_SCHEMA,
-            writer: self.writer.clone(),
-            boot: self.boot,
-            at: ledger.next,
-            index: i as u32,
-            count,
-            hash,
-            data: data.to_owned(),
-        });
-        chunks.collect()
-    }
 }
 
 impl Carry for Checkpoints {
@@ -105,13 +85,17 @@
         if self.busy.swap(true, Ordering::AcqRel) {
             return;
         }
-        let chunks = self.cut(&state.ledger);
+        let ledger = state.ledger.clone();
+        let boot = self.boot;
         let log = self.log.clone();
         let busy = self.busy.clone();
         let writer = self.writer.clone();
         let cfg = state.ledger.catalog.next;
         let at = state.ledger.next;
         tokio::spawn(async move {
+            let own = writer.clone();
+            let cutting = tokio::task::spawn_blocking(move || cut(&own, boot, &ledger));
+            let chunks = cutting.await.unwrap_or_default();
             if write(&*log, &chunks).await {
                 let note = Note::new(&events::CHECKPOINT_WRITTEN, &writer, cfg);
                 note.with("at", at).with("chunks", chunks.len()).log();
@@ -121,7 +105,31 @@
     }
 }
 
+/// Serializes a ledger and cuts it, which takes too long for the reducer's task.
+fn cut(writer: &Name, boot: u64, ledger: &Ledger) -> Vec<Chunk> {
+    let Ok(text) = serde_json::to_string(ledger) else {
+        return Vec::new();
+    };
+    let hash = xxh3_64(text.as_bytes());
+    let parts = split(&text);
+    let count = parts.len() as u32;
+    let chunks = parts.into_iter().enumerate().map(|(i, data)| Chunk {
+        schema: CHECKPOINT_SCHEMA,
+        writer: writer.clone(),
+        boot,
+        at: ledger.next,
+        index: i as u32,
+        count,
+        hash,
+        data: data.to_owned(),
+    });
+    chunks.collect()
+}
+
 async fn write(log: &dyn Log, chunks: &[Chunk]) -> bool {
+    if chunks.is_empty() {
+        return false;
+    }
     for chunk in chunks {
         let Ok(text) = serde_json::to_vec(chunk) else {
             return false;
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -68,6 +68,8 @@
     woke_ms: Option<u64>,
     behind_ms: Option<u64>,
     behind: bool,
+    saved: Offset,
+    saved_ms: u64,
 }
 
 impl State {
@@ -176,6 +178,7 @@
 
 fn restore(state: &mut State, ledger: Ledger) {
     state.restored = true;
+    state.saved = state.saved.max(ledger.next);
     if ledger.next <= state.ledger.next && ledger.catalog.next <= state.ledger.catalog.next {
         return;
     }
@@ -243,13 +246,21 @@
             hash: state.ledger.digest(),
         });
     }
-    let every = ctx.settings.log.checkpoint_every;
-    if ctx.process == Process::Placer && offset % every == every - 1 {
-        let rank = state.peers.rank(ctx, now, "checkpoint");
-        if rank == 0 {
-            effects.push(Effect::Checkpoint);
-        }
+}
+
+/// Asks for a checkpoint once enough records or time have passed since the last one.
+fn checkpoint(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
+    let config = &ctx.settings.log;
+    let next = state.ledger.next;
+    let records = next.saturating_sub(state.saved);
+    let late = now.mono_ms >= state.saved_ms + config.checkpoint_ms;
+    let due = records >= config.checkpoint_every || (late && records > 0);
+    if !due || state.peers.rank(ctx, now, "checkpoint") > 0 {
+        return;
     }
+    state.saved = next;
+    state.saved_ms = now.mono_ms;
+    effects.push(Effect::Checkpoint);
 }
 
 /// Takes in a heartbeat; a ledger that differs at the same offset is said loudly.
@@ -294,6 +305,7 @@
             if !state.ready() || state.draining {
                 return;
             }
+            checkpoint(ctx, state, now, effects);
             let (ledger, peers) = (&state.ledger, &state.peers);
             let view = keeper::View {
                 ctx,
