fix(ctl): explain from the log record by record, and bound what is kept of a refusal

explain held the whole audit stream in memory, and a page of 1,000 audit records (at most 512 notes each) could pass the client's bound on an answer. It now takes pages of 128 records and keeps only the steps; the configuration alone is held, since it is staged for the replay. One of its tests reads 300 control records of which 200 are kept.

A record with an unknown key of 200 kB left that key in the ledger's memory of verdicts, and so in every checkpoint.

--- a/src/configs/source.rs
+++ b/src/configs/source.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Returns the text as it was given.
+    pub fn text(&self) -> &str {
+        self.text
+    }
+
     /// Returns the content without comments.
     pub fn value(&self) -> Value {
         plain(&self.root)
--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -4,14 +4,14 @@
 use super::Result;
 use super::log::Log;
 use super::render;
-use super::steps;
+use super::steps::Collector;
 use super::steps::Step;
 use super::steps::Steps;
-use super::steps::Streams;
 use super::targets;
 use crate::modules::log::AUDIT_STREAM;
 use crate::modules::log::CONFIG_STREAM;
 use crate::modules::log::CONTROL_STREAM;
+use crate::platform::LogRecord;
 use crate::prelude::*;
 use crate::reducer::ledger::Ledger;
 use argh::FromArgs;
@@ -41,28 +41,26 @@
 pub(super) async fn run(args: &Args) -> Result<()> {
     let addr = targets::log_addr(args.log.as_deref(), args.settings.as_deref())?;
     let log = Log::open(addr, args.call_ms);
-    let control = log.read(CONTROL_STREAM, 0).await?;
+    let id: Name = args.id.as_str().into();
     let config = log.read(CONFIG_STREAM, 0).await?;
-    let base = match control.first == 0 && config.first == 0 {
+    let oldest = log.oldest(CONTROL_STREAM).await?;
+    let base = match oldest == 0 && config.first == 0 {
         true => Ledger::default(),
         false => log.checkpoint().await?,
     };
-    let streams = Streams {
-        base,
-        audit: log.read(AUDIT_STREAM, 0).await?,
-        control,
-        config,
-    };
-    let id: Name = args.id.as_str().into();
-    let steps = steps::collect(&streams, &id);
+    let mut found = Collector::open(id.clone(), base, config);
+    let take = |record: LogRecord| found.take_control(&record);
+    let control = log.each(CONTROL_STREAM, 0, take).await?;
+    let take = |record: LogRecord| found.take_audit(&record);
+    let audit = log.each(AUDIT_STREAM, 0, take).await?;
+    let steps = found.finish(control, audit);
     match args.json {
         true => render::json(&steps)?,
         false => print(&steps),
     }
     match steps.list.is_empty() {
         true => Err(Error::Refused(format!(
-            "the log keeps nothing of {id} (audit from {}, control from {})",
-            streams.audit.first, streams.control.first
+            "the log keeps nothing of {id} (audit from {audit}, control from {control})"
         ))),
         false => Ok(()),
     }
--- a/src/ctl/log.rs
+++ b/src/ctl/log.rs
@@ -15,7 +15,7 @@
 use crate::reducer::ledger::Ledger;
 
 /// The most records of one read.
-const PAGE: u64 = 1_000;
+const PAGE: u64 = 128;
 
 /// How an append ended.
 #[derive(Debug)]
@@ -75,28 +75,43 @@
         Ok(self.page(stream, 0, 1).await?.next)
     }
 
-    /// Reads a stream from `from`, or from the oldest record that is kept, to its end.
+    /// Returns the offset of the oldest record of a stream that is kept.
+    pub(super) async fn oldest(&self, stream: &str) -> Result<Offset> {
+        Ok(self.page(stream, 0, 1).await?.first)
+    }
+
+    /// Reads a stream from `from` to its end.
     pub(super) async fn read(&self, stream: &str, from: Offset) -> Result<Stream> {
+        let mut records = Vec::new();
+        let each = |record: LogRecord| records.push(record);
+        let first = self.each(stream, from, each).await?;
+        Ok(Stream { first, records })
+    }
+
+    /// Passes each record of a stream from `from` on to `take`, without keeping it, and returns
+    /// the offset of the first: `from`, or that of the oldest record that is kept.
+    pub(super) async fn each(
+        &self,
+        stream: &str,
+        from: Offset,
+        mut take: impl FnMut(LogRecord),
+    ) -> Result<Offset> {
+        let mut first = from;
         let mut at = from;
-        let mut found = Stream {
-            first: from,
-            records: Vec::new(),
-        };
         loop {
             let page = self.page(stream, at, PAGE).await?;
             if at < page.first {
+                first = page.first;
                 at = page.first;
-                found.first = page.first;
-                found.records.clear();
                 continue;
             }
             let Some(last) = page.records.last() else {
-                return Ok(found);
+                return Ok(first);
             };
             at = last.offset + 1;
-            found.records.extend(page.records);
+            page.records.into_iter().for_each(&mut take);
             if at >= page.next {
-                return Ok(found);
+                return Ok(first);
             }
         }
     }
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 done, 1 refused or not in force, 2 wrong usage or findings, 3 unreachable.
 
 mod changes;
+mod entries;
 mod error;
 mod explain;
 mod ledger;
--- a/src/ctl/records.rs
+++ b/src/ctl/records.rs
@@ -14,6 +14,8 @@
     pub(super) file: String,
     /// The change.
     pub(super) change: Change,
+    /// The file's text.
+    pub(super) text: String,
     /// The record without comments, as it is appended.
     pub(super) data: String,
 }
@@ -37,6 +39,7 @@
         Ok(change) => Ok(Record {
             file: file.to_owned(),
             change,
+            text: source.text().to_owned(),
             data,
         }),
         Err(Rejected::Wrong(findings)) => Err(source.locate(findings)),
--- a/src/ctl/steps.rs
+++ b/src/ctl/steps.rs
@@ -1,13 +1,16 @@
 //! The steps of a request, job or change, read from the log alone.
 
+use super::entries::concerns;
+use super::entries::detail;
+use super::entries::name;
 use super::log::Stream;
 use crate::modules::audit::AuditNote;
 use crate::modules::audit::AuditRecord;
+use crate::platform::LogRecord;
 use crate::prelude::*;
 use crate::records::Batch;
 use crate::records::CONTROL_SCHEMA;
 use crate::records::Entry;
-use crate::records::Outcome;
 use crate::reducer::ledger::Applied;
 use crate::reducer::ledger::Ledger;
 use crate::reducer::ledger::Ruling;
@@ -44,64 +47,94 @@
     pub(super) gaps: Vec<String>,
 }
 
-/// The streams that the steps are read from.
+/// Collects the steps of one identifier, record by record.
 #[derive(Debug)]
-pub(super) struct Streams {
-    /// The ledger from which the control stream is replayed.
-    pub(super) base: Ledger,
-    pub(super) audit: Stream,
-    pub(super) control: Stream,
-    pub(super) config: Stream,
+pub(super) struct Collector {
+    ids: BTreeSet<Name>,
+    ledger: Ledger,
+    staged: Staged,
+    from: Offset,
+    whole: bool,
+    without: usize,
+    steps: Steps,
 }
 
-/// Collects every step of `id`, which is a request, job, change, worker or idempotency key.
-pub(super) fn collect(streams: &Streams, id: &Name) -> Steps {
-    let mut steps = Steps::default();
-    let mut ids = BTreeSet::from([id.clone()]);
-    replay(streams, &mut ids, &mut steps);
-    read_audit(&streams.audit, &ids, &mut steps);
-    steps
-        .list
-        .sort_by_key(|step| (step.at_ms, step.stream, step.offset));
-    steps
-}
+impl Collector {
+    /// Starts from the ledger `base` and all configuration records that are kept.
+    pub(super) fn open(id: Name, base: Ledger, config: Stream) -> Self {
+        Self {
+            ids: BTreeSet::from([id]),
+            from: base.next,
+            whole: config.first <= base.catalog.next,
+            ledger: base,
+            staged: stage(config),
+            without: 0,
+            steps: Steps::default(),
+        }
+    }
 
-/// Applies the control stream to the base, so that each entry from there on has its verdict.
-fn replay(streams: &Streams, ids: &mut BTreeSet<Name>, steps: &mut Steps) {
-    let mut ledger = streams.base.clone();
-    let mut staged = stage(&streams.config);
-    let whole = streams.config.first <= ledger.catalog.next;
-    let mut without = 0;
-    for record in &streams.control.records {
-        let next = whole && record.offset == ledger.next;
+    /// Takes in the next control record, and replays it if nothing before it is missing.
+    pub(super) fn take_control(&mut self, record: &LogRecord) {
+        let next = self.whole && record.offset == self.ledger.next;
         let Some(batch) = decode(&record.data) else {
             if next {
-                ledger.skip(record.offset);
+                self.ledger.skip(record.offset);
             }
-            continue;
+            return;
         };
-        follow_keys(&batch, ids);
-        if next && ledger.can_apply(&staged, &batch) {
-            let applied = ledger.apply(record.offset, &batch, &mut staged);
-            ruled(&ledger, &batch, &applied, ids, steps);
-            continue;
+        follow_keys(&batch, &mut self.ids);
+        if next && self.ledger.can_apply(&self.staged, &batch) {
+            let ledger = &mut self.ledger;
+            let applied = ledger.apply(record.offset, &batch, &mut self.staged);
+            ruled(ledger, &batch, &applied, &self.ids, &mut self.steps);
+            return;
         }
-        let before = steps.list.len();
-        raw(record.offset, &batch, ids, steps);
-        without += steps.list.len() - before;
+        let before = self.steps.list.len();
+        raw(record.offset, &batch, &self.ids, &mut self.steps);
+        self.without += self.steps.list.len() - before;
     }
-    if without > 0 {
-        steps.gaps.push(format!(
-            "the verdicts on {without} proposed entries are not known: they can be replayed from \
-             control record {} on",
-            streams.base.next
-        ));
+
+    /// Takes in the next audit record; the control records must have been taken in before.
+    pub(super) fn take_audit(&mut self, record: &LogRecord) {
+        let steps = &mut self.steps;
+        let Ok(found) = serde_json::from_str::<AuditRecord>(&record.data) else {
+            let text = format!("audit record {} cannot be read", record.offset);
+            steps.gaps.push(text);
+            return;
+        };
+        if found.dropped > 0 {
+            let text = format!(
+                "{} dropped {} audit notes before record {}",
+                found.vm, found.dropped, record.offset
+            );
+            steps.gaps.push(text);
+        }
+        let mut notes = found.notes;
+        notes.retain(|note| self.ids.contains(&note.id));
+        for note in &notes {
+            add_note(record.offset, &found.vm, note, steps);
+        }
     }
-    if streams.control.first > 0 {
-        let first = streams.control.first;
+
+    /// Returns the steps; the streams were read from these offsets on.
+    pub(super) fn finish(self, control: Offset, audit: Offset) -> Steps {
+        let mut steps = self.steps;
+        if self.without > 0 {
+            steps.gaps.push(format!(
+                "the verdicts on {} proposed entries are not known: they can be replayed from \
+                 control record {} on",
+                self.without, self.from
+            ));
+        }
+        for (stream, first) in [("control", control), ("audit", audit)] {
+            if first > 0 {
+                let text = format!("{stream} records below {first} are gone");
+                steps.gaps.push(text);
+            }
+        }
+        let list = &mut steps.list;
+        list.sort_by_key(|step| (step.at_ms, step.stream, step.offset));
         steps
-            .gaps
-            .push(format!("control records below {first} are gone"));
     }
 }
 
@@ -111,10 +144,10 @@
     (batch.schema <= CONTROL_SCHEMA).then_some(batch)
 }
 
-fn stage(config: &Stream) -> Staged {
-    let records = config.records.iter().map(|record| StagedRecord {
+fn stage(config: Stream) -> Staged {
+    let records = config.records.into_iter().map(|record| StagedRecord {
         offset: record.offset,
-        data: record.data.clone().into_bytes(),
+        data: record.data.into_bytes(),
     });
     let records: std::collections::VecDeque<StagedRecord> = records.collect();
     Staged {
@@ -211,114 +244,7 @@
     }
 }
 
-fn concerns(entry: &Entry, ids: &BTreeSet<Name>) -> bool {
-    match entry {
-        Entry::Claim { req, key, .. } | Entry::Settle { req, key, .. } => {
-            ids.contains(req) || ids.contains(key)
-        }
-        Entry::Submit { job } => ids.contains(&job.id),
-        Entry::Reclaim { job, waiter, .. } => {
-            ids.contains(job) || waiter.as_ref().is_some_and(|waiter| ids.contains(waiter))
-        }
-        Entry::Cancel { job }
-        | Entry::Place { job, .. }
-        | Entry::Reject { job, .. }
-        | Entry::Member { job, .. } => ids.contains(job),
-        Entry::Worker { worker, .. } => ids.contains(worker),
-    }
-}
-
-fn name(entry: &Entry) -> &'static str {
-    match entry {
-        Entry::Claim { .. } => "claim",
-        Entry::Settle { .. } => "settle",
-        Entry::Submit { .. } => "submit",
-        Entry::Cancel { .. } => "cancel",
-        Entry::Place { .. } => "place",
-        Entry::Reclaim { .. } => "reclaim",
-        Entry::Reject { .. } => "reject",
-        Entry::Member { .. } => "member",
-        Entry::Worker { .. } => "worker",
-    }
-}
-
-/// Says what an entry holds besides its identifier.
-fn detail(entry: &Entry) -> String {
-    match entry {
-        Entry::Claim {
-            req,
-            workspace,
-            kind,
-            key,
-            ..
-        } => format!("{req} claims key {key} of {workspace} for {kind}"),
-        Entry::Settle { req, outcome, .. } => format!("{req} {}", outcome_text(outcome)),
-        Entry::Submit { job } => format!(
-            "{} of {}: {} members of {} accelerators",
-            job.kind, job.workspace, job.members, job.accelerators
-        ),
-        Entry::Cancel { .. } => "asked by the caller".to_owned(),
-        Entry::Place { attempt, slots, .. } => {
-            let workers: BTreeSet<&Name> = slots.iter().map(|slot| &slot.worker).collect();
-            let workers: Vec<&str> = workers.into_iter().map(|worker| &**worker).collect();
-            format!("attempt {attempt} on {}", workers.join(" "))
-        }
-        Entry::Reclaim { token, waiter, .. } => match waiter {
-            Some(waiter) => format!("placement {token} makes room for {waiter}"),
-            None => format!("placement {token} makes room"),
-        },
-        Entry::Reject { reason, .. } => reason.clone(),
-        Entry::Member {
-            token,
-            worker,
-            state,
-            kept_ms,
-            ..
-        } => format!("{worker}: {state:?} in placement {token}, {kept_ms} ms kept"),
-        Entry::Worker {
-            worker,
-            state,
-            reason,
-        } => format!("{worker}: {state:?}: {reason}"),
-    }
-}
-
-fn outcome_text(outcome: &Outcome) -> String {
-    match outcome {
-        Outcome::Done(kept) if kept.body.is_some() => {
-            format!("ran: status {}, its answer is kept", kept.status)
-        }
-        Outcome::Done(kept) => format!("ran: status {}, its answer is not kept", kept.status),
-        Outcome::NotRun => "did not run".to_owned(),
-        Outcome::Unknown => "may have run".to_owned(),
-    }
-}
-
-/// Adds the events of `ids`; one that several processes saw is one step.
-fn read_audit(audit: &Stream, ids: &BTreeSet<Name>, steps: &mut Steps) {
-    if audit.first > 0 {
-        let text = format!("audit records below {} are gone", audit.first);
-        steps.gaps.push(text);
-    }
-    for record in &audit.records {
-        let Ok(found) = serde_json::from_str::<AuditRecord>(&record.data) else {
-            let text = format!("audit record {} cannot be read", record.offset);
-            steps.gaps.push(text);
-            continue;
-        };
-        if found.dropped > 0 {
-            let text = format!(
-                "{} dropped {} audit notes before record {}",
-                found.vm, found.dropped, record.offset
-            );
-            steps.gaps.push(text);
-        }
-        for note in found.notes.iter().filter(|note| ids.contains(&note.id)) {
-            add_note(record.offset, &found.vm, note, steps);
-        }
-    }
-}
-
+/// Adds an event; one that several processes saw is one step.
 fn add_note(offset: Offset, vm: &Name, note: &AuditNote, steps: &mut Steps) {
     let fields = note.fields.iter();
     let texts: Vec<String> = fields.map(|f| format!("{}={}", f.key, f.value)).collect();
--- a/src/ctl/validate.rs
+++ b/src/ctl/validate.rs
@@ -95,8 +95,10 @@
     };
     let applied = Ledger::default().apply(0, &batch, &mut staged);
     for (record, ruled) in records.iter().zip(applied.changes) {
-        for finding in ruled.refused.list {
-            findings.add(format!("{} {}", record.file, finding.place), finding.text);
-        }
+        let located = match Source::parse(&record.file, &record.text) {
+            Ok(source) => source.locate(ruled.refused),
+            Err(found) => found,
+        };
+        findings.list.extend(located.list);
     }
 }
--- a/src/findings.rs
+++ b/src/findings.rs
@@ -4,6 +4,9 @@
 use serde::Serialize;
 use std::fmt;
 
+/// The longest place or text of a shortened finding, in bytes.
+pub const SHORT_MAX_BYTES: usize = 200;
+
 /// One thing that is wrong with an input.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finding {
@@ -37,8 +40,12 @@
         });
     }
 
-    /// Keeps the first `most` findings and says how many more there were.
+    /// Keeps the first `most` findings, cuts long texts, and says how many more there were.
     pub fn shorten(&mut self, most: usize) {
+        for finding in &mut self.list {
+            cut(&mut finding.place);
+            cut(&mut finding.text);
+        }
         let more = self.list.len().saturating_sub(most);
         if more > 0 {
             self.list.truncate(most);
@@ -52,6 +59,13 @@
     }
 }
 
+fn cut(text: &mut String) {
+    if text.len() > SHORT_MAX_BYTES {
+        text.truncate(text.floor_char_boundary(SHORT_MAX_BYTES));
+        text.push_str("...");
+    }
+}
+
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (i, finding) in self.list.iter().enumerate() {
--- a/src/reducer/ledger/catalog.rs
+++ b/src/reducer/ledger/catalog.rs
@@ -26,7 +26,7 @@
 /// The most verdicts on changes that are remembered.
 pub const RULED_MAX: usize = 4_096;
 /// The most findings of one record that are remembered.
-pub const FINDINGS_MAX: usize = 32;
+pub const FINDINGS_MAX: usize = 16;
 
 /// An object with its version: the configuration offset in force right after its last change.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/tests/ctl_commands.rs
+++ b/tests/ctl_commands.rs
@@ -258,7 +258,7 @@
 #[tokio::test]
 async fn what_the_log_no_longer_keeps_is_said_and_not_made_up() {
     let log = LogHandle::spawn(LogOptions::default()).await.unwrap();
-    for seq in 1..=3 {
+    for seq in 1..=300 {
         let batch = Batch {
             schema: CONTROL_SCHEMA,
             id: BatchId {
@@ -274,18 +274,18 @@
         };
         log.append("control", serde_json::to_string(&batch).unwrap());
     }
-    log.set_keep(2);
+    log.set_keep(200);
     let addr = log.addr().to_string();
     let ended = ctl(&["explain", "job-1", "--log", &addr]).await;
     assert_eq!(Some(0), ended.code, "{ended:?}");
     assert!(ended.out.contains("cancel proposed"), "{}", ended.out);
     assert!(
-        ended.err.contains("control records below 1 are gone"),
+        ended.err.contains("control records below 100 are gone"),
         "{}",
         ended.err
     );
     assert!(
-        ended.err.contains("verdicts on 2 proposed"),
+        ended.err.contains("verdicts on 200 proposed"),
         "{}",
         ended.err
     );
--- a/tests/decode_records.rs
+++ b/tests/decode_records.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 use serde_json::json;
 use std::collections::BTreeSet;
+use trefoilgauge::findings::SHORT_MAX_BYTES;
 use trefoilgauge::model::Adjacency;
 use trefoilgauge::model::Job;
 use trefoilgauge::prelude::*;
@@ -290,10 +291,11 @@
         (0..1_000).map(|i| (format!("k{i}"), json!(1))).collect();
     let refused = log.publish("pool/p", Value::Object(unknown)).refused;
     assert_eq!(FINDINGS_MAX + 1, refused.list.len());
-    assert_eq!(
-        "968 more findings are not listed",
-        refused.list[FINDINGS_MAX].text
-    );
+    let more = format!("{} more findings are not listed", 1_000 - FINDINGS_MAX);
+    assert_eq!(more, refused.list[FINDINGS_MAX].text);
+    let long = json!({"é".repeat(100_000): 1});
+    let refused = log.publish("pool/p", long).refused;
+    assert!(refused.list[0].place.len() <= SHORT_MAX_BYTES + 3);
 }
 
 /// Compares the objects of two catalogues.
