--- a/src/bench/faults/plan.rs
+++ b/src/bench/faults/plan.rs
@@ -45,7 +45,7 @@
     r#"{"schema":2,"change":"b6","object":"rack/rack-2","replaces":0,"body":{"centre":"c1","workers":[{"name":"worker-3","addr":"127.0.0.1:13","accelerators":4,"cores":64,"memory_gb":64},{"name":"worker-4","addr":"127.0.0.1:14","accelerators":4,"cores":64,"memory_gb":64}]}}"#,
     r#"{"schema":2,"change":"b7","object":"workspace/owner","replaces":0,"body":{"guarantees":[{"accelerators":8,"adjacency":"rack"}],"quota":16,"kinds":["check","invoice","ledger"]}}"#,
 ];
-const BORROWER: &str = r#"{"schema":2,"change":"b8","object":"workspace/borrower","replaces":0,"body":{"quota":12,"kinds":["check","invoice","ledger"]}}"#;
+const BORROWER: &str = r#"{"schema":2,"change":"b8","object":"workspace/borrower","replaces":0,"body":{"guarantees":[{"accelerators":4,"adjacency":"any"}],"quota":12,"kinds":["check","invoice","ledger"]}}"#;
 const WEIGHTS: &str =
     r#"{"schema":1,"change":"w","object":"weights/main","replaces":0,"body":{"completion":70}}"#;
 
@@ -93,6 +93,12 @@
             world.at(at_ms + 3, Act::Call { call: again });
         }
     }
+    for i in 0..LOAD_FOR_MS / 500 {
+        let key = format!("hasty-{i}");
+        let call = Call::request(&key, (i % 2) as usize, "invoice", Some(&key), 100);
+        let call = call.within(4 + 8 * (i % 4));
+        world.at(LOAD_MS + 120 + i * 500, Act::Call { call });
+    }
     if step == Step::Queued {
         for i in 0..9 {
             let call = Call::request(&format!("fill-{i}"), 0, "check", None, 900);
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,8 +1,13 @@
 //! Measures the decisions and their cost by replays with a virtual clock.
 
 pub mod faults;
+pub mod measures;
+pub mod policies;
+pub mod replay;
 pub mod report;
 pub mod requests;
+pub mod trace;
+pub mod workers;
 
 use crate::prelude::*;
 use serde::Serialize;
@@ -74,5 +79,5 @@
 
 /// Returns all parts, whose outcomes the report puts together.
 pub fn parts() -> Vec<Box<dyn Part>> {
-    vec![Box::new(requests::Requests)]
+    vec![Box::new(replay::GangPart), Box::new(requests::Requests)]
 }
