fix(config): rule nothing after a schema that is not known

A VM that met a newer schema left rotation but went on ruling: a later change that another version refuses was in force on it, and it told the publisher so; its claims, verdicts on jobs and, from a placer, its checkpoints would have come from a configuration that no other VM holds. Only the writer of the batch logged TG0303. A void verdict for all later entries was ruled out: a job that others accept would be refused as not run.

The ledger now stops at that record and gives no verdicts, so calls in progress end as unknown or as never dispatched, which is true.

--- a/src/reducer/ledger/mod.rs
+++ b/src/reducer/ledger/mod.rs
@@ -119,7 +119,8 @@
 
     /// Applies the control record at `offset`.
     ///
-    /// A record below the ledger's next offset is passed over.
+    /// A record below the ledger's next offset is passed over. Once a configuration record is newer
+    /// than this version knows, nothing more is ruled: other versions know better.
     pub fn apply(&mut self, offset: Offset, batch: &Batch, staged: &mut Staged) -> Applied {
         let mut applied = Applied::default();
         if offset < self.next {
@@ -128,6 +129,9 @@
         self.next = offset + 1;
         self.move_clock(batch.at_ms);
         applied.changes = self.enforce(batch.cfg, staged);
+        if self.catalog.too_new.is_some() {
+            return applied;
+        }
         let origin = Origin {
             offset,
             id: batch.id.clone(),
@@ -176,7 +180,7 @@
             if record.offset >= cfg {
                 break;
             }
-            if record.offset >= self.catalog.next {
+            if record.offset >= self.catalog.next && self.catalog.too_new.is_none() {
                 let view = catalog::View {
                     fleet: &self.fleet,
                     gangs: &self.gangs,
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -221,7 +221,9 @@
     effects: &mut Vec<Effect>,
 ) {
     let applied = state.ledger.apply(offset, batch, &mut state.staged);
-    if batch.id.writer == ctx.writer && batch.id.boot == ctx.boot {
+    let too_new = state.ledger.catalog.too_new.is_some();
+    let met = applied.changes.iter().any(|change| change.newer.is_some());
+    if met || (batch.id.writer == ctx.writer && batch.id.boot == ctx.boot) {
         notes::note(&state.ledger, &applied, effects);
     }
     for ruling in &applied.rulings {
@@ -237,6 +239,10 @@
             state.proposals.moved();
         }
     }
+    if too_new {
+        state.digest = None;
+        return;
+    }
     if offset % DIGEST_EVERY == DIGEST_EVERY - 1 {
         state.digest = Some(Digest {
             at: state.ledger.next,
--- a/tests/decode_records.rs
+++ b/tests/decode_records.rs
@@ -284,6 +284,35 @@
     assert_eq!("d", &*log.ledger.fleet.hosts["w2"].centre);
 }
 
+#[test]
+fn nothing_is_ruled_after_a_schema_that_is_not_known() {
+    let mut log = Log::open();
+    let newer = json!({"schema": 3, "change": "n", "object": "pool/p", "replaces": 1, "body": {}});
+    let data = newer.to_string().into_bytes();
+    let offset = log.staged.next;
+    log.staged.next += 1;
+    log.staged.records.push_back(StagedRecord { offset, data });
+    let before = log.ledger.catalog.clone();
+    let entry = Entry::Claim {
+        req: "r1".into(),
+        workspace: "w".into(),
+        kind: "k".into(),
+        key: "x".into(),
+        print: 1,
+    };
+    let ruled = log.publish("pool/p", json!({"slots": 1}));
+    assert_eq!(Some(3), ruled.newer);
+    for _ in 0..2 {
+        log.append(vec![entry.clone()]);
+    }
+    assert_eq!(None, log.ledger.claims.get(&"w".into(), &"x".into()));
+    let expected = Catalog {
+        too_new: Some(offset),
+        ..before
+    };
+    assert_same(&expected, &log.ledger.catalog);
+}
+
 #[test]
 fn what_is_remembered_of_a_refusal_is_bounded() {
     let mut log = Log::open();
