test(ctl): race two operators, publish a whole deployment, and meet a newer schema

Three more tests run the real command: of two concurrent publishers of one version exactly one wins in each of three rounds; the 16 records of deploy/atlas come into force in order; a VM that met a newer schema is not ready and confirms nothing.

--- a/src/ctl/publish.rs
+++ b/src/ctl/publish.rs
@@ -214,6 +214,12 @@
         let end = Instant::now() + self.wait;
         let mut places: Vec<Place> = self.vms.iter().cloned().map(waiting).collect();
         let mut told = 0;
+        if !places.is_empty() {
+            eprintln!(
+                "{change}: record {offset}, waiting for {} VMs",
+                places.len()
+            );
+        }
         loop {
             for place in &mut places {
                 if matches!(place.seen, Seen::Waiting | Seen::Unreachable(_)) {
--- a/tests/ctl_commands.rs
+++ b/tests/ctl_commands.rs
@@ -58,11 +58,12 @@
     socket.local_addr().unwrap().to_string()
 }
 
-/// A log, an entry process, and a folder for records.
+/// A log, the two processes of a VM, and a folder for records.
 struct Site {
     log: LogHandle,
     _vms: VmsHandle,
     entry: Running,
+    _placer: Running,
     folder: TempDir,
 }
 
@@ -76,12 +77,17 @@
         settings.peers.vms_addr = vms.addr().to_string().into();
         settings.callers.listen = any.clone();
         settings.ops.entry_listen = any.clone();
-        settings.peers.entry_listen = any;
+        settings.peers.entry_listen = any.clone();
+        settings.ops.placer_listen = any.clone();
+        settings.peers.placer_listen = any;
+        let placer = process::spawn(Process::Placer, settings.clone());
+        let placer = placer.await.unwrap();
         let entry = process::spawn(Process::Entry, settings).await.unwrap();
         Self {
             log,
             _vms: vms,
             entry,
+            _placer: placer,
             folder: tempfile::tempdir().unwrap(),
         }
     }
@@ -100,6 +106,14 @@
         path.display().to_string()
     }
 
+    /// Returns the version of the pool in force, 0 if there is none.
+    async fn version(&self) -> u64 {
+        let url = format!("http://{}/ops/ledger/pools", self.vm());
+        let pools = Client::new(CALL_LIMIT).get(&url).await.unwrap();
+        let pools: Value = pools.json().unwrap();
+        pools["p"]["version"].as_u64().unwrap_or(0)
+    }
+
     /// Publishes a pool with so many slots in place of version `replaces`.
     async fn publish(&self, id: &str, replaces: u64, slots: u64) -> Ended {
         let text = format!(
@@ -109,7 +123,9 @@
         let file = self.file(&format!("{id}.json"), &text);
         let log = self.log();
         let vm = self.vm();
-        ctl(&["publish", &file, "--log", &log, "--vm", &vm, "--json"]).await
+        let wait = ["--wait-ms", "3000", "--json"];
+        let words = ["publish", &file, "--log", &log, "--vm", &vm];
+        ctl(&[&words[..], &wait].concat()).await
     }
 }
 
@@ -136,6 +152,62 @@
     assert_eq!(vec![false, false, true], refused);
 }
 
+#[tokio::test]
+async fn of_two_operators_at_once_one_wins_and_the_other_is_told() {
+    let site = Site::open().await;
+    for round in 0..3 {
+        let version = site.log.records("config").len() as u64;
+        let replaces = site.version().await;
+        let ids = [format!("a{round}"), format!("b{round}")];
+        let (a, b) = tokio::join!(
+            site.publish(&ids[0], replaces, 4),
+            site.publish(&ids[1], replaces, 8),
+        );
+        let mut codes = [a.code, b.code];
+        codes.sort();
+        assert_eq!([Some(0), Some(1)], codes, "{a:?} {b:?}");
+        assert_eq!(version + 1, site.version().await);
+    }
+}
+
+#[tokio::test]
+async fn the_samples_of_a_deployment_are_published_in_order() {
+    let site = Site::open().await;
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("deploy/atlas/config");
+    let entries = std::fs::read_dir(root).unwrap();
+    let mut files: Vec<String> = entries
+        .map(|entry| entry.unwrap().path().display().to_string())
+        .collect();
+    files.sort();
+    let log = site.log();
+    let vm = site.vm();
+    let mut words = vec!["publish", "--log", &log, "--vm", &vm, "--json"];
+    words.extend(files.iter().map(String::as_str));
+    let ended = ctl(&words).await;
+    assert_eq!(Some(0), ended.code, "{ended:?}");
+    assert_eq!(files.len(), ended.json().as_array().unwrap().len());
+    let shown = ctl(&["workspaces", "--vm", &vm, "--json"]).await.json();
+    let names: Vec<&String> = shown.as_object().unwrap().keys().collect();
+    assert_eq!(
+        ["accountants", "bursars", "cooperatives", "workshop"],
+        names[..]
+    );
+}
+
+#[tokio::test]
+async fn a_vm_that_meets_a_newer_schema_leaves_rotation_and_puts_nothing_in_force() {
+    let site = Site::open().await;
+    assert_eq!(Some(0), site.publish("first", 0, 8).await.code);
+    let newer = r#"{"schema":3,"change":"new","object":"pool/p","replaces":1,"body":{}}"#;
+    site.log.append("config", newer);
+    let late = site.publish("late", 1, 4).await;
+    assert_eq!(Some(1), late.code, "{late:?}");
+    let url = format!("http://{}/ready", site.vm());
+    let ready = Client::new(CALL_LIMIT).get(&url).await.unwrap();
+    let body: Value = ready.json().unwrap();
+    assert_eq!((503, &Value::from(1)), (ready.status, &body["too_new"]));
+}
+
 #[tokio::test]
 async fn an_append_whose_answer_is_lost_is_read_back_and_not_repeated() {
     let site = Site::open().await;
