feat(events): say which peers are seen and lost, and forget those long gone

TG0401 and TG0402 stood in the catalogue and nothing wrote them. A peer is now said to be seen when it is heard first or after a loss, and lost after peers.silent_ms of silence, once each.

--- a/src/reducer/peers.rs
+++ b/src/reducer/peers.rs
@@ -10,6 +10,9 @@
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// The silence after which a lost peer is forgotten, in milliseconds.
+const FORGET_MS: u64 = 600_000;
+
 /// A peer with the time at which it was last heard.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Peer {
@@ -17,6 +20,8 @@
     pub beat: Heartbeat,
     /// When it was last heard, in milliseconds of monotonic time.
     pub heard_ms: u64,
+    /// Whether it was said to be lost.
+    pub lost: bool,
 }
 
 /// All peers, and the platform's list of VMs.
@@ -32,21 +37,40 @@
 
 impl Peers {
     /// Takes in a heartbeat; one that was overtaken by a later one is passed over.
-    pub fn hear(&mut self, beat: Heartbeat, now: Now) {
+    ///
+    /// Tells whether the peer was not known or was lost.
+    pub fn hear(&mut self, beat: Heartbeat, now: Now) -> bool {
         let age = |beat: &Heartbeat| (beat.boot, beat.control);
         let older = self
             .all
             .get(&beat.from)
             .is_some_and(|peer| age(&peer.beat) > age(&beat));
         if older {
-            return;
+            return false;
         }
         self.changes += 1;
         let peer = Peer {
             heard_ms: now.mono_ms,
+            lost: false,
             beat,
         };
-        self.all.insert(peer.beat.from.clone(), peer);
+        let before = self.all.insert(peer.beat.from.clone(), peer);
+        before.is_none_or(|peer| peer.lost)
+    }
+
+    /// Returns the peers that fell silent since the last call, and forgets those long gone.
+    pub fn lose(&mut self, ctx: &Context, now: Now) -> Vec<Name> {
+        let silent_ms = ctx.settings.peers.silent_ms;
+        self.all
+            .retain(|_, peer| now.mono_ms < peer.heard_ms + silent_ms + FORGET_MS);
+        let mut lost = Vec::new();
+        for (name, peer) in &mut self.all {
+            if !peer.lost && now.mono_ms >= peer.heard_ms + silent_ms {
+                peer.lost = true;
+                lost.push(name.clone());
+            }
+        }
+        lost
     }
 
     /// Takes in the platform's list of VMs.
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -268,7 +268,19 @@
         let note = Note::new(&events::LEDGER_DIVERGED, &beat.from, cfg);
         effects.push(Effect::Note(note.with("at", own.at)));
     }
-    state.peers.hear(beat, now);
+    let from = beat.from.clone();
+    if state.peers.hear(beat, now) {
+        let cfg = state.ledger.catalog.next;
+        effects.push(Effect::Note(Note::new(&events::PEER_SEEN, &from, cfg)));
+    }
+}
+
+/// Says which peers fell silent.
+fn lose_peers(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
+    let cfg = state.ledger.catalog.next;
+    for name in state.peers.lose(ctx, now) {
+        effects.push(Effect::Note(Note::new(&events::PEER_LOST, &name, cfg)));
+    }
 }
 
 /// Tells whether this process may be out of date: behind a live peer or cut off from the log and
@@ -288,6 +300,7 @@
 
 fn tick(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
     check_age(ctx, state, now);
+    lose_peers(ctx, state, now, effects);
     touch(ctx, state, now, effects);
     match ctx.process {
         Process::Entry => {
