--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -7,6 +7,7 @@
 use super::event::Now;
 use super::jobs;
 use super::jobs::Jobs;
+use super::keeper;
 use super::keeper::Keeper;
 use super::ledger::Ledger;
 use super::ledger::Staged;
@@ -28,6 +29,12 @@
 /// The time in which the next VM in line puts a configuration in force, in milliseconds.
 const TOUCH_RANK_MS: u64 = 300;
 
+/// The time for which a process may know an older configuration than a live peer, or neither
+/// reach the log nor hear a peer, in milliseconds.
+const BEHIND_MS: u64 = 1_500;
+/// The longest wait for the list of VMs after a pause, in milliseconds.
+const LIST_WAIT_MS: u64 = 3_000;
+
 /// The control records between two hashes of the ledger.
 const DIGEST_EVERY: u64 = 1_000;
 
@@ -58,12 +65,16 @@
     pub jobs: Jobs,
     proposals: Proposals,
     touched_ms: Option<u64>,
+    woke_ms: Option<u64>,
+    behind_ms: Option<u64>,
+    behind: bool,
 }
 
 impl State {
     /// Tells whether this process may accept and decide.
     pub fn ready(&self) -> bool {
-        self.caught_up && self.ledger.catalog.too_new.is_none()
+        let current = self.caught_up && self.woke_ms.is_none() && !self.behind;
+        current && self.ledger.catalog.too_new.is_none()
     }
 
     /// Returns how many calls and requests are in progress.
@@ -100,6 +111,7 @@
             jobs.cancel(&view, req, &workspace, job, &mut effects);
         }
         Event::Members { list } => {
+            state.woke_ms = None;
             state.peers.read_list(list);
             let (requests, view) = parts(ctx, state, now);
             requests.listed(&view, &mut effects);
@@ -111,6 +123,10 @@
             keeper.synced(ledger, &worker, answer.as_ref(), now, &mut effects);
         }
         Event::Drain => state.draining = true,
+        Event::Woke => {
+            state.caught_up = false;
+            state.woke_ms = Some(now.mono_ms);
+        }
         Event::Arrive(arrival) => {
             let (requests, view) = parts(ctx, state, now);
             requests.arrive(&view, arrival, &mut effects);
@@ -183,6 +199,7 @@
 }
 
 fn log_state(ctx: &Context, state: &mut State, up: bool, effects: &mut Vec<Effect>) {
+    state.caught_up |= up;
     if up == state.log_up {
         return;
     }
@@ -193,7 +210,6 @@
     let cfg = state.ledger.catalog.next;
     effects.push(Effect::Note(Note::new(kind, &ctx.writer, cfg)));
     state.log_up = up;
-    state.caught_up |= up;
 }
 
 fn control(
@@ -249,7 +265,23 @@
     state.peers.hear(beat, now);
 }
 
+/// Tells whether this process may be out of date: behind a live peer or cut off from the log and
+/// every peer for a while, or just awake.
+fn check_age(ctx: &Context, state: &mut State, now: Now) {
+    let own = state.staged.next.max(state.ledger.catalog.next);
+    let mut live = state.peers.live(ctx, now);
+    let ahead = live.any(|peer| peer.beat.cfg > own);
+    let alone = !state.log_up && state.peers.live(ctx, now).next().is_none();
+    let unsure = ahead || (alone && state.peers.expected(ctx));
+    let since_ms = unsure.then(|| state.behind_ms.unwrap_or(now.mono_ms));
+    state.behind_ms = since_ms;
+    state.behind = since_ms.is_some_and(|at_ms| now.mono_ms >= at_ms + BEHIND_MS);
+    let waited = |at_ms: &u64| now.mono_ms < at_ms + LIST_WAIT_MS;
+    state.woke_ms = state.woke_ms.filter(waited);
+}
+
 fn tick(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
+    check_age(ctx, state, now);
     touch(ctx, state, now, effects);
     match ctx.process {
         Process::Entry => {
@@ -263,7 +295,14 @@
                 return;
             }
             let (ledger, peers) = (&state.ledger, &state.peers);
-            state.keeper.tick(ctx, ledger, peers, now, effects);
+            let view = keeper::View {
+                ctx,
+                ledger,
+                peers,
+                now,
+                log_up: state.log_up,
+            };
+            state.keeper.tick(&view, effects);
             if state.log_up {
                 state.proposals.tick(ctx, ledger, peers, now, effects);
             }
