--- a/tests/decode_records.rs
+++ b/tests/decode_records.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 use serde_json::json;
 use std::collections::BTreeSet;
+use trefoilgauge::findings::SHORT_MAX_BYTES;
 use trefoilgauge::model::Adjacency;
 use trefoilgauge::model::Job;
 use trefoilgauge::prelude::*;
@@ -283,6 +284,35 @@
     assert_eq!("d", &*log.ledger.fleet.hosts["w2"].centre);
 }
 
+#[test]
+fn nothing_is_ruled_after_a_schema_that_is_not_known() {
+    let mut log = Log::open();
+    let newer = json!({"schema": 3, "change": "n", "object": "pool/p", "replaces": 1, "body": {}});
+    let data = newer.to_string().into_bytes();
+    let offset = log.staged.next;
+    log.staged.next += 1;
+    log.staged.records.push_back(StagedRecord { offset, data });
+    let before = log.ledger.catalog.clone();
+    let entry = Entry::Claim {
+        req: "r1".into(),
+        workspace: "w".into(),
+        kind: "k".into(),
+        key: "x".into(),
+        print: 1,
+    };
+    let ruled = log.publish("pool/p", json!({"slots": 1}));
+    assert_eq!(Some(3), ruled.newer);
+    for _ in 0..2 {
+        log.append(vec![entry.clone()]);
+    }
+    assert_eq!(None, log.ledger.claims.get(&"w".into(), &"x".into()));
+    let expected = Catalog {
+        too_new: Some(offset),
+        ..before
+    };
+    assert_same(&expected, &log.ledger.catalog);
+}
+
 #[test]
 fn what_is_remembered_of_a_refusal_is_bounded() {
     let mut log = Log::open();
@@ -290,10 +320,11 @@
         (0..1_000).map(|i| (format!("k{i}"), json!(1))).collect();
     let refused = log.publish("pool/p", Value::Object(unknown)).refused;
     assert_eq!(FINDINGS_MAX + 1, refused.list.len());
-    assert_eq!(
-        "968 more findings are not listed",
-        refused.list[FINDINGS_MAX].text
-    );
+    let more = format!("{} more findings are not listed", 1_000 - FINDINGS_MAX);
+    assert_eq!(more, refused.list[FINDINGS_MAX].text);
+    let long = json!({"é".repeat(100_000): 1});
+    let refused = log.publish("pool/p", long).refused;
+    assert!(refused.list[0].place.len() <= SHORT_MAX_BYTES + 3);
 }
 
 /// Compares the objects of two catalogues.
