feat(bench): show refusals, spread over runners and retries of the requests' replay

Cause: the policy report has no room for the spread with hints of 0, 1 and 5 s, for busy answers and for the amplification of retries after an outage; and useful work counted answers after the trace.

--- a/src/bench/requests.rs
+++ b/src/bench/requests.rs
@@ -1,5 +1,6 @@
 //! The requests' part of the policy report: entry VMs and runners under a virtual clock.
 
+pub mod details;
 pub mod replay;
 pub mod trace;
 pub mod vm;
@@ -84,11 +85,16 @@
         .count() as u64
 }
 
-/// Returns the service time of all answers that came within their deadline, in milliseconds.
+/// Returns the service time of all answers that came within their deadline and within the trace,
+/// in milliseconds.
 pub fn useful_ms(trace: &Trace, seen: &Seen) -> u64 {
+    let len_ms = trace.len_ms();
     let jobs = trace.jobs.iter().zip(&seen.fates);
     let useful = jobs.filter(|(job, fate)| match fate {
-        Fate::Answered(took_ms) => *took_ms <= trace.kinds[job.kind].deadline_ms,
+        Fate::Answered(took_ms) => {
+            let in_time = *took_ms <= trace.kinds[job.kind].deadline_ms;
+            in_time && job.at_ms + took_ms <= len_ms
+        }
         _ => false,
     });
     useful.map(|(job, _)| job.service_ms).sum()
--- /dev/null
+++ b/src/bench/requests/details.rs
@@ -0,0 +1,110 @@
+//! What the policy report leaves out: refusals, spread over runners, and retries in an outage.
+
+use super::count;
+use super::doubled;
+use super::replay::Fate;
+use super::replay::Replay;
+use super::replay::Seen;
+use super::trace::Phase;
+use super::trace::RUNNERS;
+use super::trace::SLOTS;
+use super::trace::Trace;
+use super::trace::USUAL;
+use super::untrue;
+use super::useful_ms;
+use crate::bench::Deployment;
+use crate::bench::report::Quantiles;
+use crate::bench::report::quantiles;
+use crate::reducer::effect::Ran;
+use serde::Serialize;
+
+/// The ages of the peers' hints that are compared, in milliseconds.
+const HINTS_MS: [u64; 3] = [0, 1_000, 5_000];
+/// A steady trace, for the spread over runners.
+const STEADY: [Phase; 1] = [Phase::calm(30_000, 70)];
+/// An outage of every runner between steady phases.
+const OUTAGE: [Phase; 3] = [
+    Phase::calm(10_000, 70),
+    Phase {
+        len_ms: 15_000,
+        load_pct: 70,
+        faults: false,
+        outage: true,
+    },
+    Phase::calm(30_000, 70),
+];
+
+/// One replay.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Row {
+    /// The trace.
+    pub trace: &'static str,
+    /// Whether the real reducer decided, or the plain baseline.
+    pub real: bool,
+    /// The age of the hints, in milliseconds.
+    pub hint_ms: u64,
+    /// The requests of the trace.
+    pub requests: usize,
+    /// Those that were answered.
+    pub answered: u64,
+    /// Those whose upstream's error was passed on.
+    pub failed: u64,
+    /// Those that were refused and not run.
+    pub refused: u64,
+    /// Those that may have run.
+    pub unknown: u64,
+    /// Those without a final answer.
+    pub lost: u64,
+    /// Non-idempotent ones that ran twice.
+    pub doubled: u64,
+    /// Refusals that said "not run" of a request that ran.
+    pub untrue: u64,
+    /// Tries that met a runner without a free slot.
+    pub busy: u64,
+    /// The tries that reached an upstream, in percent of the requests.
+    pub tries_pct: u64,
+    /// The useful work in percent of all slots' time.
+    pub useful_pct: u64,
+    /// The busiest runner's requests in thousandths of the mean.
+    pub peak: Option<Quantiles>,
+}
+
+/// Replays the traces of a deployment that the policy report leaves out.
+pub fn run(deployment: Deployment, seed: u64) -> Vec<Row> {
+    let mut rows = Vec::new();
+    let mut add = |name: &'static str, phases: &[Phase], real: bool, hint_ms: u64| {
+        let trace = Trace::make(deployment, seed, phases);
+        let seen = Replay::run(&trace, real, hint_ms);
+        rows.push(row(name, &trace, &seen, real, hint_ms));
+    };
+    for real in [true, false] {
+        for hint_ms in HINTS_MS {
+            add("steady", &STEADY, real, hint_ms);
+        }
+        add("outage", &OUTAGE, real, 0);
+        add("usual", &USUAL, real, 0);
+    }
+    rows
+}
+
+fn row(name: &'static str, trace: &Trace, seen: &Seen, real: bool, hint_ms: u64) -> Row {
+    let tries: u64 = seen.tries.iter().map(|tries| u64::from(*tries)).sum();
+    let slots_ms = RUNNERS as u64 * u64::from(SLOTS) * trace.len_ms();
+    Row {
+        trace: name,
+        real,
+        hint_ms,
+        requests: trace.jobs.len(),
+        answered: count(seen, |fate| matches!(fate, Fate::Answered(_))),
+        failed: count(seen, |fate| *fate == Fate::Failed),
+        refused: count(seen, |fate| *fate == Fate::Refused(Ran::No)),
+        unknown: count(seen, |fate| *fate == Fate::Refused(Ran::Unknown)),
+        lost: count(seen, |fate| *fate == Fate::Open),
+        doubled: doubled(trace, seen),
+        untrue: untrue(seen),
+        busy: seen.busy,
+        tries_pct: tries * 100 / (trace.jobs.len() as u64).max(1),
+        useful_pct: useful_ms(trace, seen) * 100 / slots_ms.max(1),
+        peak: quantiles(&seen.peaks),
+    }
+}
--- a/src/bench/requests/replay.rs
+++ b/src/bench/requests/replay.rs
@@ -4,6 +4,7 @@
 use super::trace::RUNNERS;
 use super::trace::SLOTS;
 use super::trace::Trace;
+use super::trace::number_in;
 use super::vm::Vm;
 use super::vm::WALL_MS;
 use super::vm::fleet;
@@ -85,6 +86,7 @@
     vms: Vec<Box<dyn Vm>>,
     agenda: BTreeMap<(u64, u64), What>,
     planned: u64,
+    cfg: Offset,
     now_ms: u64,
     log: Vec<Batch>,
     outboxes: Vec<Vec<Entry>>,
@@ -106,6 +108,7 @@
             hint_ms,
             agenda: BTreeMap::new(),
             planned: 0,
+            cfg: trace.changes().len() as u64,
             now_ms: 0,
             log: Vec::new(),
             outboxes: vms.iter().map(|_| Vec::new()).collect(),
@@ -261,7 +264,7 @@
             schema: CONTROL_SCHEMA,
             id: BatchId { writer, boot, seq },
             at_ms: WALL_MS + self.now_ms,
-            cfg: self.trace.changes().len() as u64,
+            cfg: self.cfg,
             entries,
         }
     }
@@ -277,7 +280,8 @@
 
     /// Lets a try reach its runner.
     fn reach(&mut self, vm: usize, dispatch: Dispatch) {
-        let (Some(i), Some(runner)) = (index(&dispatch.req), index(&dispatch.runner)) else {
+        let (Some(i), Some(runner)) = (number_in(&dispatch.req), number_in(&dispatch.runner))
+        else {
             return;
         };
         self.seen.tries[i] += 1;
@@ -310,14 +314,14 @@
         if self.abandoned.remove(&(req.clone(), attempt)) {
             return;
         }
-        if let (Some(i), TryEnd::Answered { status, .. }) = (index(&req), &end) {
+        if let (Some(i), TryEnd::Answered { status, .. }) = (number_in(&req), &end) {
             self.statuses.insert((i, attempt), *status);
         }
         self.tell(vm, Event::TryEnd { req, attempt, end });
     }
 
     fn replied(&mut self, req: &Name, reply: &Reply) {
-        let Some(i) = index(req) else {
+        let Some(i) = number_in(req) else {
             return;
         };
         let took_ms = self.now_ms - self.trace.jobs[i].at_ms;
@@ -343,10 +347,6 @@
     }
 }
 
-fn index(name: &str) -> Option<usize> {
-    name.get(1..)?.parse().ok()
-}
-
 fn answer(status: u16, retry_ms: Option<u64>) -> TryEnd {
     TryEnd::Answered {
         status,
--- a/src/bench/requests/trace.rs
+++ b/src/bench/requests/trace.rs
@@ -251,6 +251,11 @@
     format!("s{runner}").into()
 }
 
+/// Returns the number in the name of a runner or request.
+pub fn number_in(name: &str) -> Option<usize> {
+    name.get(1..)?.parse().ok()
+}
+
 fn change(object: &str, body: &str) -> String {
     let id = object.replace('/', "-");
     format!(r#"{{"schema":2,"change":"{id}","object":"{object}","replaces":0,"body":{body}}}"#)
--- a/src/bench/requests/vm.rs
+++ b/src/bench/requests/vm.rs
@@ -3,6 +3,7 @@
 use super::trace::RUNNERS;
 use super::trace::SLOTS;
 use super::trace::VMS;
+use super::trace::number_in;
 use super::trace::runner_name;
 use crate::configs::Settings;
 use crate::context::Context;
@@ -85,7 +86,7 @@
 pub struct Plain {
     writer: Name,
     own: Vec<u32>,
-    others: BTreeMap<Name, Vec<Load>>,
+    others: BTreeMap<Name, Vec<u32>>,
     waiting: VecDeque<Name>,
     sent: BTreeMap<Name, Sent>,
     later: VecDeque<Later>,
@@ -117,15 +118,20 @@
     }
 
     fn load(&self, runner: usize) -> u32 {
-        let name = runner_name(runner);
-        let others = self.others.values().flatten();
-        let others: u32 = others
-            .filter(|load| load.runner == name)
-            .map(|load| load.flight)
-            .sum();
+        let others: u32 = self.others.values().map(|loads| loads[runner]).sum();
         self.own[runner] + others
     }
 
+    fn hear(&mut self, beat: Heartbeat) {
+        let mut loads = vec![0; RUNNERS];
+        for load in beat.loads {
+            if let Some(runner) = number_in(&load.runner) {
+                loads[runner] = load.flight;
+            }
+        }
+        self.others.insert(beat.from, loads);
+    }
+
     fn pump(&mut self, effects: &mut Vec<Effect>) {
         if self.waiting.is_empty() {
             return;
@@ -191,7 +197,7 @@
         match event {
             Event::Arrive(arrival) => self.waiting.push_back(arrival.req),
             Event::TryEnd { req, end, .. } => self.ended(now_ms, req, &end, &mut effects),
-            Event::Peer(beat) => drop(self.others.insert(beat.from, beat.loads)),
+            Event::Peer(beat) => self.hear(beat),
             _ => {}
         }
         while self.later.front().is_some_and(|next| next.at_ms <= now_ms) {
--- a/src/bin/trefoil_bench.rs
+++ b/src/bin/trefoil_bench.rs
@@ -17,6 +17,19 @@
 #[argh(subcommand)]
 enum Command {
     Policy(PolicyArgs),
+    Requests(RequestsArgs),
+}
+
+/// Shows refusals, spread over runners and retries of the requests' replay.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "requests")]
+struct RequestsArgs {
+    /// instituto or atlas
+    #[argh(option, from_str_fn(deployment))]
+    deployment: Deployment,
+    /// the seed of the trace
+    #[argh(option, default = "1")]
+    seed: u64,
 }
 
 /// Replays a deployment's trace under each policy.
@@ -45,6 +58,10 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let text = match args.command {
+        Command::Requests(args) => {
+            let rows = bench::requests::details::run(args.deployment, args.seed);
+            serde_json::to_string(&rows)
+        }
         Command::Policy(args) => {
             let found = report::run(&bench::parts(), args.deployment, args.seed);
             match args.json {
