--- a/src/bin/trefoil_bench.rs
+++ b/src/bin/trefoil_bench.rs
@@ -1,4 +1,4 @@
-//! Measures the policy and its cost, and proves the promises: `trefoil-bench policy|faults`.
+//! Measures the policy and its cost, and proves the promises: `trefoil-bench policy|requests|faults`.
 
 use argh::FromArgs;
 use std::process::ExitCode;
@@ -19,6 +19,7 @@
 #[argh(subcommand)]
 enum Command {
     Policy(PolicyArgs),
+    Requests(RequestsArgs),
     Faults(FaultsArgs),
 }
 
@@ -55,6 +56,18 @@
     json: bool,
 }
 
+/// Shows refusals, spread over runners and retries of the requests' replay.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "requests")]
+struct RequestsArgs {
+    /// instituto or atlas
+    #[argh(option, from_str_fn(deployment))]
+    deployment: Deployment,
+    /// the seed of the trace
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
 fn deployment(text: &str) -> Result<Deployment, String> {
     match text {
         "instituto" => Ok(Deployment::Instituto),
@@ -67,6 +80,10 @@
     let args: Args = argh::from_env();
     let mut code = ExitCode::SUCCESS;
     let text = match args.command {
+        Command::Requests(args) => {
+            let rows = bench::requests::details::run(args.deployment, args.seed);
+            serde_json::to_string(&rows)
+        }
         Command::Policy(args) => {
             let found = report::run(&bench::parts(), args.deployment, args.seed);
             match args.json {
