feat(requests): borrow only of pools with room, and probe a failed pool in steps

Change: a VM borrows only while the pool as a whole is under 75 percent; an abandoned request counts as in flight for its usual time, as upstreams run it on; while most of a pool fails a VM sends it at most one probe in 250 ms until one succeeds. The dealing of shares moves to a file of its own.

--- a/src/reducer/requests/routing.rs
+++ b/src/reducer/requests/routing.rs
@@ -6,6 +6,8 @@
 //! Between two random candidates the less loaded is taken (the power of two choices,
 //! Mitzenmacher, 2001), which keeps VMs with old hints from choosing alike.
 
+mod shares;
+
 use super::View;
 use super::health::Gate;
 use super::health::Health;
@@ -31,6 +33,8 @@
 const BORROW_AFTER_MS: u64 = 750;
 /// The time without waiting requests after which borrowing ends, in milliseconds.
 const BORROW_END_MS: u64 = 2_000;
+/// The time between two probes at a pool most of which fails, in milliseconds.
+const PROBE_GAP_MS: u64 = 250;
 /// The random draws for two candidates, before all runners are looked at in turn.
 const DRAWS: u32 = 6;
 
@@ -41,17 +45,23 @@
     others: u32,
     share: u32,
     slots: u32,
+    /// When each abandoned request is taken to have ended, as its upstream runs it on.
+    ghosts: Vec<u64>,
     health: Health,
 }
 
 impl Track {
+    fn own(&self) -> u32 {
+        self.flight + self.ghosts.len() as u32
+    }
+
     fn load(&self) -> u32 {
-        self.flight + self.others
+        self.own() + self.others
     }
 
     fn has_room(&self, borrows: bool) -> bool {
         let lent = borrows && self.load() < self.slots * BORROW_PCT / 100;
-        self.flight < self.share || lent
+        self.own() < self.share || lent
     }
 }
 
@@ -85,6 +95,8 @@
     members: BTreeSet<Name>,
     borrow: bool,
     backlogs: BTreeMap<Name, Backlog>,
+    idle: BTreeSet<Name>,
+    probes: BTreeMap<Name, u64>,
     changes: u64,
     cfg: Offset,
     due_ms: u64,
@@ -94,10 +106,10 @@
 impl Routing {
     /// Returns this process's requests in flight at each runner.
     pub(super) fn loads(&self) -> Vec<Load> {
-        let busy = self.tracks.iter().filter(|(_, track)| track.flight > 0);
+        let busy = self.tracks.iter().filter(|(_, track)| track.own() > 0);
         busy.map(|(runner, track)| Load {
             runner: runner.clone(),
-            flight: track.flight,
+            flight: track.own(),
         })
         .collect()
     }
@@ -118,7 +130,9 @@
         }
         self.cfg = view.ledger.catalog.next;
         self.add_others(view, silent);
-        self.follow(view)
+        let turns = self.follow(view);
+        self.find_idle(view);
+        turns
     }
 
     /// Chooses a runner of `pool` for a request that was tried at `tried`.
@@ -134,6 +148,7 @@
             return None;
         }
         let borrows = self.borrows(pool, view.now.mono_ms);
+        let probes = self.may_probe(pool, view.now.mono_ms);
         let mut found: Option<Candidate<'a>> = None;
         let mut seen = 0;
         for _ in 0..DRAWS {
@@ -142,8 +157,8 @@
                 continue;
             };
             // One request proves that a failed runner is back; it must bear being run again.
-            if next.gate == Gate::Probe && idempotent && !next.tried {
-                return Some(next.runner);
+            if next.gate == Gate::Probe && idempotent && !next.tried && probes {
+                return Some(self.probe(pool, next.runner, view.now.mono_ms));
             }
             seen += 1;
             found = Some(found.map_or(next, |known| cheaper(known, next)));
@@ -186,12 +201,29 @@
         mark: Mark,
         sent_ms: u64,
     ) -> Option<Turn> {
+        let now_ms = view.now.mono_ms;
         let wide = pool.is_some_and(|pool| self.is_wide(pool));
         let track = self.tracks.get_mut(runner)?;
         track.flight = track.flight.saturating_sub(1);
         let config = &view.ctx.settings.requests;
-        let health = &mut track.health;
-        health.mark(config, mark, sent_ms, view.now.mono_ms, wide)
+        let turn = track.health.mark(config, mark, sent_ms, now_ms, wide);
+        if let (Some(pool), Some(Turn::Back)) = (pool, turn) {
+            self.probes.remove(&pool.name);
+        }
+        turn
+    }
+
+    /// Notes that a try was abandoned, which its upstream takes `left_ms` more to run.
+    pub(super) fn abandoned(&mut self, runner: &Name, now_ms: u64, left_ms: u64) {
+        if let Some(track) = self.tracks.get_mut(runner) {
+            track.ghosts.push(now_ms + left_ms);
+        }
+    }
+
+    /// Tells whether a pool may be probed now; one most of which fails is probed in steps.
+    fn may_probe(&self, pool: &Pool, now_ms: u64) -> bool {
+        let next_ms = self.probes.get(&pool.name).copied().unwrap_or(0);
+        now_ms >= next_ms || !self.is_wide(pool)
     }
 
     /// Returns how many requests this VM can have at the runners of `pool` at once.
@@ -230,11 +262,20 @@
             found = Some(found.map_or(next, |known| cheaper(known, next)));
         }
         let found = found?;
-        let risky = found.gate == Gate::Probe && !idempotent;
-        if risky && self.servers(pool, view.now.mono_ms) > 0 {
+        let now_ms = view.now.mono_ms;
+        if found.gate == Gate::Open {
+            return Some(found.runner);
+        }
+        let risky = !idempotent && self.servers(pool, now_ms) > 0;
+        if risky || !self.may_probe(pool, now_ms) {
             return None;
         }
-        Some(found.runner)
+        Some(self.probe(pool, found.runner, now_ms))
+    }
+
+    fn probe<'a>(&mut self, pool: &Pool, runner: &'a Runner, now_ms: u64) -> &'a Runner {
+        self.probes.insert(pool.name.clone(), now_ms + PROBE_GAP_MS);
+        runner
     }
 
     fn candidate<'a>(
@@ -267,7 +308,7 @@
             backlog.last_ms >= backlog.since_ms + BORROW_AFTER_MS
                 && now_ms < backlog.last_ms + BORROW_END_MS
         });
-        self.borrow && lasts
+        self.borrow && lasts && self.idle.contains(&pool.name)
     }
 
     /// Tells whether most runners of a pool fail, so that the fault is hardly any single one's.
@@ -287,73 +328,6 @@
         xxh3_64_with_seed(&self.draws.to_le_bytes(), seed)
     }
 
-    /// Finds the entry VMs that share the runners, and returns how many of them are silent.
-    fn find_members(&mut self, view: &View<'_>) -> u64 {
-        let config = &view.ctx.settings.requests;
-        let live = view.peers.live(view.ctx, view.now);
-        let mut heard: BTreeSet<Name> = live.map(|peer| peer.beat.from.clone()).collect();
-        heard.insert(view.ctx.writer.clone());
-        let heard_count = heard.len() as u64;
-        let listed = view.peers.list.iter().filter(|vm| vm.role == Role::Entry);
-        self.members = heard;
-        self.members
-            .extend(listed.map(|vm| Name::from(format!("{}/entry", vm.name))));
-        let unread = view.peers.list.is_empty() && heard_count < config.fleet;
-        let silent = self.members() - heard_count;
-        self.borrow = !unread && silent * 2 <= self.members();
-        silent
-    }
-
-    /// Deals every runner's slots to the known entry VMs.
-    fn deal(&mut self, view: &View<'_>) {
-        let config = &view.ctx.settings.requests;
-        let mut named = BTreeSet::new();
-        for pool in view.ledger.catalog.pools.values() {
-            for runner in &pool.value.runners {
-                let share = match self.borrow {
-                    true => self.dealt(view, &runner.name, pool.value.slots),
-                    false => share_blind(pool.value.slots, config.fleet + config.spare),
-                };
-                let track = self.tracks.entry(runner.name.clone()).or_default();
-                track.slots = pool.value.slots;
-                track.share = share;
-                named.insert(runner.name.clone());
-            }
-        }
-        self.tracks
-            .retain(|runner, track| track.flight > 0 || named.contains(runner));
-    }
-
-    fn dealt(&self, view: &View<'_>, runner: &Name, slots: u32) -> u32 {
-        let members = self.members.len() as u32;
-        let own = weight(&view.ctx.writer, runner);
-        let before = self
-            .members
-            .iter()
-            .filter(|member| weight(member, runner) > own);
-        let rank = before.count() as u32;
-        slots / members + u32::from(rank < slots % members)
-    }
-
-    /// Adds up what the others have in flight; a silent one is taken to use its whole share.
-    fn add_others(&mut self, view: &View<'_>, silent: u64) {
-        let members = self.members().max(1);
-        for track in self.tracks.values_mut() {
-            let hidden = u64::from(track.slots) * silent / members;
-            track.others = hidden as u32;
-        }
-        for peer in view.peers.live(view.ctx, view.now) {
-            if peer.beat.from == view.ctx.writer {
-                continue;
-            }
-            for load in &peer.beat.loads {
-                if let Some(track) = self.tracks.get_mut(&load.runner) {
-                    track.others = track.others.saturating_add(load.flight);
-                }
-            }
-        }
-    }
-
     fn follow(&mut self, view: &View<'_>) -> Vec<(Name, Turn)> {
         let runners = view.peers.list.iter().filter(|vm| vm.role == Role::Runner);
         let listed: BTreeMap<&str, bool> = runners.map(|vm| (&*vm.name, vm.leaving)).collect();
@@ -378,19 +352,9 @@
     }
 }
 
-/// Returns the share that is safe while the other VMs are not known.
-fn share_blind(slots: u32, vms: u64) -> u32 {
-    let vms = u32::try_from(vms.max(1)).unwrap_or(u32::MAX);
-    (slots / vms).max(1)
-}
-
 fn cheaper<'a>(known: Candidate<'a>, next: Candidate<'a>) -> Candidate<'a> {
     match next.cost() < known.cost() {
         true => next,
         false => known,
     }
 }
-
-fn weight(writer: &str, runner: &str) -> u64 {
-    xxh3_64_with_seed(runner.as_bytes(), xxh3_64(writer.as_bytes()))
-}
--- a/src/reducer/requests/sending.rs
+++ b/src/reducer/requests/sending.rs
@@ -25,6 +25,8 @@
 
 /// How many times the usual service time a try may take before it counts against the runner.
 const LATE_FACTOR: u64 = 4;
+/// The least time that an upstream is taken to run an abandoned request on, in milliseconds.
+const GHOST_MS: u64 = 1_000;
 
 impl Requests {
     /// Takes over what the peers, the list and the configuration say by now.
@@ -207,6 +209,9 @@
         let took_ms = view.now.mono_ms.saturating_sub(sent.at_ms);
         let queue = self.queues.get(&found.kind.name);
         let usual_ms = queue.map_or(0, |queue| queue.service_ms());
+        let left_ms = usual_ms.saturating_sub(took_ms).max(GHOST_MS);
+        self.routing
+            .abandoned(&sent.runner, view.now.mono_ms, left_ms);
         let mark = match mark {
             Mark::Neutral if took_ms > LATE_FACTOR * usual_ms => Mark::Error,
             mark => mark,
