fix(claims): remember a key for its whole time after the log was idle

Cause: the ledger's clock moves at most 60 s per record, so after an idle night of 10 h a claim was stamped 10 h too early and its key forgotten 14 h later; a retry within the promised 24 h then ran again. A claim in the future of its clock also blocked the expiry of all later ones. Ruled out: larger clock steps (one wrong clock would expire every key at once). Change: a key's time begins with the later of the ledger's clock and the writer's stamp, which may lead by 30 days at most; expiries are ordered by their end. Conclusion: at most once holds for 24 h of true time, as long as a wrong clock is at most that late.

--- a/src/reducer/ledger/claims.rs
+++ b/src/reducer/ledger/claims.rs
@@ -14,10 +14,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 /// The time for which a key is remembered, in milliseconds of the ledger's clock.
 pub const KEY_TTL_MS: u64 = 86_400_000;
+/// The most that a claim's stamp may be ahead of the ledger's clock and still count, in
+/// milliseconds; the clock falls behind while nothing is recorded, such as over a night.
+pub const STAMP_LEAD_MS: u64 = 2_592_000_000;
 /// The most keys that are remembered.
 pub const CLAIMS_MAX: usize = 500_000;
 /// The most duplicates that are listed.
@@ -51,6 +55,8 @@
     pub offset: Offset,
     /// The ledger's clock at the claim.
     pub at_ms: u64,
+    /// When the key is forgotten, by the ledger's clock in milliseconds.
+    pub end_ms: u64,
     /// What became of it, if that was recorded.
     pub outcome: Option<Outcome>,
 }
@@ -78,11 +84,12 @@
     pub differs: bool,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// When a key is forgotten; the earliest is first.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 struct Expiry {
-    key: ClaimKey,
+    end_ms: u64,
     offset: Offset,
-    at_ms: u64,
+    key: ClaimKey,
 }
 
 /// All claims that are remembered.
@@ -90,7 +97,7 @@
 pub struct Claims {
     #[serde(with = "pairs")]
     live: BTreeMap<ClaimKey, Claim>,
-    expiries: VecDeque<Expiry>,
+    expiries: BTreeSet<Expiry>,
     kept_bytes: usize,
     /// The requests that came again, the oldest first.
     pub duplicates: VecDeque<Duplicate>,
@@ -144,6 +151,7 @@
                     boot: origin.id.boot,
                     offset: origin.offset,
                     at_ms: origin.at_ms,
+                    end_ms: end_ms(origin),
                     outcome: None,
                 };
                 self.claim(key, claim, catalog)
@@ -166,11 +174,11 @@
 
     /// Forgets the keys whose time has passed.
     pub(super) fn expire(&mut self, clock_ms: u64) {
-        while let Some(oldest) = self.expiries.front() {
-            if oldest.at_ms + KEY_TTL_MS > clock_ms {
+        while let Some(oldest) = self.expiries.first() {
+            if oldest.end_ms > clock_ms {
                 return;
             }
-            let Some(oldest) = self.expiries.pop_front() else {
+            let Some(oldest) = self.expiries.pop_first() else {
                 return;
             };
             let same = self
@@ -199,10 +207,10 @@
         } else if self.live.len() >= CLAIMS_MAX {
             return Err(Void::Full("remembered keys".into()));
         }
-        self.expiries.push_back(Expiry {
-            key: key.clone(),
+        self.expiries.insert(Expiry {
+            end_ms: claim.end_ms,
             offset: claim.offset,
-            at_ms: claim.at_ms,
+            key: key.clone(),
         });
         self.live.insert(key, claim);
         Ok(())
@@ -257,6 +265,13 @@
     }
 }
 
+/// Returns when a key is forgotten: its time begins with the later of clock and stamp, so that it
+/// does not pass while the clock only catches up.
+fn end_ms(origin: &Origin) -> u64 {
+    let stamp_ms = origin.stamp_ms.min(origin.at_ms + STAMP_LEAD_MS);
+    origin.at_ms.max(stamp_ms) + KEY_TTL_MS
+}
+
 fn kept_len(outcome: Option<&Outcome>) -> usize {
     match outcome {
         Some(Outcome::Done(kept)) => kept.body.as_ref().map_or(0, String::len),
--- a/src/reducer/ledger/mod.rs
+++ b/src/reducer/ledger/mod.rs
@@ -43,6 +43,8 @@
     pub cfg: Offset,
     /// The ledger's clock, in milliseconds of wall time.
     pub at_ms: u64,
+    /// The writer's own wall time in milliseconds, which the clock follows in steps.
+    pub stamp_ms: u64,
 }
 
 /// The verdict on one entry, with the entry.
@@ -133,6 +135,7 @@
             id: batch.id.clone(),
             cfg: self.catalog.next,
             at_ms: self.clock_ms,
+            stamp_ms: batch.at_ms,
         };
         let fresh = self.count(&batch.id);
         for entry in &batch.entries {
