fix(core): a process that has just started waits for the list of VMs

A start now counts as a pause: no work goes out until the list is read, or 3 s have passed without it.

The matrix also measures the take-over: from the death of a placer to the next record of another one.

--- a/src/bench/faults/checkers.rs
+++ b/src/bench/faults/checkers.rs
@@ -74,6 +74,8 @@
     pub leaving_ms: u64,
     /// From the publishing of a change to its being in force by the log.
     pub config_ms: u64,
+    /// From the death of a placer to the next record of another one.
+    pub takeover_ms: u64,
 }
 
 impl Bounds {
@@ -83,6 +85,7 @@
         self.reclaim_ms = self.reclaim_ms.max(other.reclaim_ms);
         self.leaving_ms = self.leaving_ms.max(other.leaving_ms);
         self.config_ms = self.config_ms.max(other.config_ms);
+        self.takeover_ms = self.takeover_ms.max(other.takeover_ms);
     }
 }
 
@@ -93,6 +96,13 @@
     next: Offset,
 }
 
+/// A placer that died.
+#[derive(Debug, Clone)]
+struct Killed {
+    writer: Name,
+    at_ms: u64,
+}
+
 /// What one process showed since it started.
 #[derive(Debug, Clone, Copy, Default)]
 struct Seen {
@@ -114,6 +124,7 @@
     turns: Vec<Turn>,
     published: BTreeMap<Offset, u64>,
     seen: BTreeMap<usize, Seen>,
+    killed: Option<Killed>,
 }
 
 impl Checkers {
@@ -134,6 +145,12 @@
         self.published.insert(offset, now_ms);
     }
 
+    /// Notes the death of a placer.
+    pub fn killed(&mut self, at_ms: u64, writer: &Name) {
+        let writer = writer.clone();
+        self.killed = Some(Killed { writer, at_ms });
+    }
+
     /// Checks what the whole control stream gives after one more record.
     pub fn appended(&mut self, now_ms: u64, truth: &Ledger, applied: &Applied) {
         if truth.next.is_multiple_of(COMPARE_EVERY) {
@@ -143,6 +160,15 @@
         if truth.catalog.next > last {
             self.enforced(now_ms, last, truth.catalog.next);
         }
+        let origin = applied.rulings.first().map(|ruling| &ruling.origin);
+        if let (Some(origin), Some(killed)) = (origin, &self.killed)
+            && origin.id.writer.ends_with("/placer")
+            && origin.id.writer != killed.writer
+        {
+            let took_ms = now_ms.saturating_sub(killed.at_ms);
+            self.bounds.takeover_ms = self.bounds.takeover_ms.max(took_ms);
+            self.killed = None;
+        }
         let found = self.gangs.appended(now_ms, truth, applied);
         self.bounds.reclaim_ms = self.gangs.reclaim_ms;
         if self.gangs.guarded {
--- a/src/bench/faults/fault.rs
+++ b/src/bench/faults/fault.rs
@@ -123,6 +123,10 @@
     match fault {
         Fault::Kill => {
             world.kill(subject, now_ms + DOWN_MS);
+            if subject >= 2 {
+                let writer = world.vms[subject].ctx.writer.clone();
+                world.checks.killed(now_ms, &writer);
+            }
             world.hit_if(fault, open);
         }
         Fault::Freeze => {
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -90,7 +90,7 @@
     let mut effects = Vec::new();
     match event {
         Event::Tick => tick(ctx, state, now, &mut effects),
-        Event::Restore { ledger } => restore(state, *ledger),
+        Event::Restore { ledger } => restore(state, now, *ledger),
         Event::Config { offset, data } => stage(state, offset, data),
         Event::Control { offset, batch } => control(ctx, state, now, offset, &batch, &mut effects),
         Event::Garbled { offset } => {
@@ -176,7 +176,10 @@
     (&mut state.jobs, view)
 }
 
-fn restore(state: &mut State, ledger: Ledger) {
+fn restore(state: &mut State, now: Now, ledger: Ledger) {
+    if !state.restored && state.peers.list.is_empty() {
+        state.woke_ms = Some(now.mono_ms);
+    }
     state.restored = true;
     state.saved = state.saved.max(ledger.next);
     if ledger.next <= state.ledger.next && ledger.catalog.next <= state.ledger.catalog.next {
