fix(core): a process behind a live peer's control offset is not ready

It now also compares the control offset of peers that reach the log; peers that do not are left out, so that an outage makes nobody unready by the last record that some read.

--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -302,7 +302,11 @@
 fn check_age(ctx: &Context, state: &mut State, now: Now) {
     let own = state.staged.next.max(state.ledger.catalog.next);
     let mut live = state.peers.live(ctx, now);
-    let ahead = live.any(|peer| peer.beat.cfg > own);
+    let next = state.ledger.next;
+    let ahead = live.any(|peer| {
+        let beat = &peer.beat;
+        beat.cfg > own || (beat.log_up && beat.control > next)
+    });
     let alone = !state.log_up && state.peers.live(ctx, now).next().is_none();
     let unsure = ahead || (alone && state.peers.expected(ctx));
     let since_ms = unsure.then(|| state.behind_ms.unwrap_or(now.mono_ms));
