test(faults): find a gang that starts before all of its workers prepared it

The checker now knows which workers prepared a placement and finds any earlier start; its planted violation is in faults_checkers.

--- a/src/bench/faults/checkers.rs
+++ b/src/bench/faults/checkers.rs
@@ -219,6 +219,11 @@
         self.seen.remove(&vm);
     }
 
+    /// Notes what a worker has prepared.
+    pub fn synced(&mut self, worker: &FakeWorker) {
+        self.gangs.synced(worker);
+    }
+
     /// Checks the workers.
     pub fn workers(&mut self, now_ms: u64, workers: &[FakeWorker]) {
         let found = self.gangs.watch(now_ms, workers);
--- a/src/bench/faults/gangs.rs
+++ b/src/bench/faults/gangs.rs
@@ -40,6 +40,7 @@
     /// The longest time from a reclaim to the return of the accelerators, in milliseconds.
     pub reclaim_ms: u64,
     needed: BTreeMap<Placed, BTreeSet<Name>>,
+    prepared: BTreeMap<Placed, BTreeSet<Name>>,
     partial: BTreeMap<Placed, u64>,
     reclaims: BTreeMap<Name, u64>,
 }
@@ -73,6 +74,18 @@
         Some(Finding::new(Promise::Guarantee, lacking))
     }
 
+    /// Notes what a worker has prepared, or had prepared before.
+    pub fn synced(&mut self, worker: &FakeWorker) {
+        for task in &worker.tasks {
+            let placed = Placed {
+                job: task.wanted.job.clone(),
+                token: task.wanted.token,
+            };
+            let set = self.prepared.entry(placed).or_default();
+            set.insert(worker.name.clone());
+        }
+    }
+
     /// Looks at all workers at once.
     pub fn watch(&mut self, now_ms: u64, workers: &[FakeWorker]) -> Vec<Finding> {
         let mut running: BTreeMap<Placed, BTreeSet<Name>> = BTreeMap::new();
@@ -106,6 +119,10 @@
             let text = format!("{} runs under a token that was never in force", placed.job);
             return Some(Finding::new(Promise::WholeGang, text));
         };
+        if self.prepared.get(&placed) != Some(needed) {
+            let text = format!("{} runs before all of its workers prepared it", placed.job);
+            return Some(Finding::new(Promise::WholeGang, text));
+        }
         if on == needed {
             self.whole |= needed.len() > 1;
             self.partial.remove(&placed);
--- a/src/bench/faults/services.rs
+++ b/src/bench/faults/services.rs
@@ -162,6 +162,7 @@
         let frozen = now_ms < found.frozen_ms;
         let failed = found.failed;
         let answer = (!frozen).then(|| found.sync(now_ms, call));
+        self.checks.synced(found);
         let fails = found.failed > failed;
         self.hit_if(Fault::WorkerFreeze, frozen);
         self.hit_if(Fault::WorkerFails, fails);
--- a/tests/faults_checkers.rs
+++ b/tests/faults_checkers.rs
@@ -3,6 +3,7 @@
 use trefoilgauge::bench::faults::call::Ask;
 use trefoilgauge::bench::faults::call::Call;
 use trefoilgauge::bench::faults::call::Told;
+use trefoilgauge::bench::faults::checkers::Checkers;
 use trefoilgauge::bench::faults::checkers::Promise;
 use trefoilgauge::bench::faults::fault::Fault;
 use trefoilgauge::bench::faults::gangs::PARTIAL_MS;
@@ -15,11 +16,15 @@
 use trefoilgauge::bench::faults::world::Sent;
 use trefoilgauge::bench::faults::world::World;
 use trefoilgauge::prelude::*;
+use trefoilgauge::records::Entry;
 use trefoilgauge::records::Slot;
 use trefoilgauge::reducer::effect::Code;
 use trefoilgauge::reducer::effect::Ran;
 use trefoilgauge::reducer::effect::Refusal;
 use trefoilgauge::reducer::effect::Reply;
+use trefoilgauge::reducer::ledger::Applied;
+use trefoilgauge::reducer::ledger::Origin;
+use trefoilgauge::reducer::ledger::Ruling;
 use trefoilgauge::reducer::ledger::gangs::Phase;
 
 /// A world without faults, some while into its load.
@@ -197,6 +202,30 @@
     assert!(lacking_shape(&ledger).is_some());
 }
 
+/// Returns the record that placed the gang.
+fn placed(world: &World) -> Applied {
+    let gang = &world.log.truth.gangs.all[plan::MAIN_JOB];
+    let batch = &world.log.control[gang.token as usize].batch;
+    let entry = batch
+        .entries
+        .iter()
+        .find(|entry| matches!(entry, Entry::Place { job, .. } if **job == *plan::MAIN_JOB));
+    Applied {
+        rulings: vec![Ruling {
+            origin: Origin {
+                offset: gang.token,
+                id: batch.id.clone(),
+                cfg: batch.cfg,
+                at_ms: batch.at_ms,
+                stamp_ms: batch.at_ms,
+            },
+            entry: entry.unwrap().clone(),
+            verdict: Ok(()),
+        }],
+        ..Applied::default()
+    }
+}
+
 #[test]
 fn a_partial_gang_is_found() {
     let mut world = world_at(2_600);
@@ -215,8 +244,13 @@
     let mut doubled = running.clone();
     doubled[0].tasks[0].wanted.token += 1;
     checks.workers(10_002 + PARTIAL_MS, &doubled);
-    let texts: Vec<&str> = checks.findings.iter().map(|one| &*one.text).collect();
-    let expected = ["runs in part", "two tokens", "never in force"];
+    let mut texts: Vec<&str> = checks.findings.iter().map(|one| &*one.text).collect();
+    let mut early = Checkers::default();
+    early.appended(0, &world.log.truth, &placed(&world));
+    early.synced(&running[0]);
+    early.workers(0, &running);
+    texts.extend(early.findings.iter().map(|one| &*one.text));
+    let expected = ["runs in part", "two tokens", "never in force", "before all"];
     for text in expected {
         assert!(texts.iter().any(|one| one.contains(text)), "{texts:?}");
     }
