--- a/tests/faults_checkers.rs
+++ b/tests/faults_checkers.rs
@@ -1,5 +1,7 @@
 //! Each checker finds a planted violation, and finds nothing in a run without faults.
 
+#![expect(clippy::unwrap_used, reason = "helpers of tests")]
+
 use trefoilgauge::bench::faults::call::Ask;
 use trefoilgauge::bench::faults::call::Call;
 use trefoilgauge::bench::faults::call::Told;
