fix(faults): sync idle workers more often than they count as lost in the matrix

The keeper's new idle_ms (2 s by default) was above the matrix's lost_ms of 1 s, so idle workers were declared lost at each placement, and lapse_ms was below lease_ms and isolated_ms together. Now idle_ms 300, busy_ms 100, lapse_ms 4500.

--- a/src/bench/faults/world.rs
+++ b/src/bench/faults/world.rs
@@ -391,10 +391,12 @@
         ..Settings::default()
     };
     settings.keeper.sync_ms = 300;
+    settings.keeper.busy_ms = 100;
+    settings.keeper.idle_ms = 300;
     settings.keeper.call_ms = CALL_MS;
     settings.keeper.lease_ms = 2_000;
     settings.keeper.lost_ms = 1_000;
-    settings.keeper.lapse_ms = 3_000;
+    settings.keeper.lapse_ms = 4_500;
     settings.keeper.isolated_ms = 2_000;
     settings.requests.fleet = 2;
     settings.requests.spare = 1;
