fix(requests): count the share of less pressing kinds in runner time

Cause: a fifth of the dispatches went to each less pressing priority, whose requests run 6 to 12 times as long as invoices, so that invoices got too few slots in a burst. Ruled out: a smaller share in percent (the right one would differ for each deployment). Change: credit is earned and paid in milliseconds of the kinds' observed service time; the option's comment says so.

--- a/src/bench/requests/details.rs
+++ b/src/bench/requests/details.rs
@@ -1,5 +1,7 @@
 //! What the policy report leaves out: refusals, spread over runners, and retries in an outage.
 
+use super::AT_CAPACITY;
+use super::TWICE;
 use super::count;
 use super::doubled;
 use super::replay::Fate;
@@ -81,6 +83,8 @@
         for hint_ms in HINTS_MS {
             add("steady", &STEADY, real, hint_ms);
         }
+        add("capacity", &AT_CAPACITY, real, 0);
+        add("twice", &TWICE, real, 0);
         add("outage", &OUTAGE, real, 0);
         add("usual", &USUAL, real, 0);
     }
--- a/src/configs/requests.rs
+++ b/src/configs/requests.rs
@@ -13,7 +13,8 @@
     pub fleet: u64,
     /// The VMs beyond `fleet` that a replacement may add.
     pub spare: u64,
-    /// The share of free slots that goes to patient work first.
+    /// The share of the runners' time that each less pressing priority gets while it waits, in
+    /// percent.
     pub patient_pct: u64,
     /// Retries allowed in percent of first tries.
     pub retry_pct: u64,
--- a/src/reducer/requests/queue.rs
+++ b/src/reducer/requests/queue.rs
@@ -1,7 +1,7 @@
 //! Bounded queues, one per kind of work, and the order in which they are served.
 //!
 //! Within a kind the earliest deadline goes first. Between kinds the more pressing goes first,
-//! but each less pressing priority that waits gets a stated share of the dispatches.
+//! but each less pressing priority that waits gets a stated share of the runners' time.
 
 use crate::model::Kind;
 use crate::model::Priority;
@@ -15,10 +15,10 @@
 const WHOLE: u64 = 8;
 /// The samples from which the observed service time is trusted to refuse by.
 const TRUSTED: u64 = 8;
-/// The credit that one dispatch out of turn costs.
+/// The credit that a dispatch out of turn costs, for each millisecond of its service time.
 const TURN_PRICE: u64 = 100;
-/// The most credit that a priority saves up.
-const TURN_MOST: u64 = 200;
+/// The most dispatches that a priority saves up credit for.
+const TURNS_MOST: u64 = 2;
 
 /// A waiting request's place; the earliest deadline is first.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -84,6 +84,11 @@
         self.spread_ms(self.waiting.len() as u64, now_ms)
     }
 
+    /// Returns the credit that a dispatch out of turn costs.
+    fn price(&self) -> u64 {
+        TURN_PRICE * self.service_ms().max(1)
+    }
+
     fn spread_ms(&self, ahead: u64, now_ms: u64) -> u64 {
         if ahead == 0 {
             return 0;
@@ -212,7 +217,7 @@
             };
             let due = turns
                 .of(queue.priority)
-                .is_some_and(|credit| *credit >= TURN_PRICE);
+                .is_some_and(|credit| *credit >= queue.price());
             heads.push(Head {
                 waits: !due,
                 priority: queue.priority,
@@ -224,22 +229,25 @@
         heads
     }
 
-    /// Counts a dispatch of `sent`, so that the others that wait gain `percent` of a turn each.
+    /// Counts a dispatch of `sent`, so that the others that wait gain `percent` of its time each.
     pub(super) fn count_turn(&mut self, pool: &Name, sent: &Head, percent: u64) {
         let turns = self.turns.entry(pool.clone()).or_default();
-        let mut owed = BTreeSet::new();
+        let price = self.kinds.get(&sent.kind).map_or(0, Queue::price);
+        let gain = price * percent / 100;
+        let mut owed: BTreeMap<Priority, u64> = BTreeMap::new();
         for queue in self.kinds.values() {
             if queue.pool == *pool && !queue.waiting.is_empty() {
-                owed.insert(queue.priority);
+                let most = owed.entry(queue.priority).or_default();
+                *most = (*most).max(queue.price() * TURNS_MOST);
             }
         }
-        for priority in owed {
+        for (priority, most) in owed {
             if let Some(credit) = turns.of(priority) {
-                *credit = (*credit + percent).min(TURN_MOST);
+                *credit = (*credit + gain).min(most);
             }
         }
         if let Some(credit) = turns.of(sent.priority) {
-            *credit = credit.saturating_sub(TURN_PRICE);
+            *credit = credit.saturating_sub(price);
         }
     }
 }
--- a/tests/requests_policy.rs
+++ b/tests/requests_policy.rs
@@ -251,12 +251,13 @@
         world.arrive(0, "entry", Some(&format!("k{i}")), 0);
     }
     world.sync();
+    world.now_ms += 100;
     world.end(0, 0, answered(&block, 200), true);
     let mut order = String::new();
     for _ in 0..20 {
         let dispatch = world.vms[0].tries[0].dispatch.clone();
         order.push(if dispatch.proven { 'u' } else { 'p' });
-        world.now_ms += 10;
+        world.now_ms += 100;
         world.end(0, 0, answered(&dispatch.req, 200), true);
     }
     assert_eq!("uuuuupuuuupuuuupuuuu", order);
