fix(requests): call no runner slow by a service time that was only declared

Cause: declared service times are far off, and the first answers of a kind that takes ten times as long as declared marked their runners slow, so that the only runner of a pool was left out. Ruled out: a higher bound for slowness (a runner that is really slow would be found later). Tests pin the share of runner time and the stepwise probes; the replay shows completion times by kind.

--- a/src/bench/requests/details.rs
+++ b/src/bench/requests/details.rs
@@ -2,6 +2,7 @@
 
 use super::AT_CAPACITY;
 use super::TWICE;
+use super::completions;
 use super::count;
 use super::doubled;
 use super::replay::Fate;
@@ -19,6 +20,7 @@
 use crate::bench::report::quantiles;
 use crate::reducer::effect::Ran;
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// The ages of the peers' hints that are compared, in milliseconds.
 const HINTS_MS: [u64; 3] = [0, 1_000, 5_000];
@@ -67,6 +69,8 @@
     pub tries_pct: u64,
     /// The useful work in percent of all slots' time.
     pub useful_pct: u64,
+    /// The completion times of the answered requests, by kind.
+    pub completion_ms: BTreeMap<String, Quantiles>,
     /// The busiest runner's requests in thousandths of the mean.
     pub peak: Option<Quantiles>,
 }
@@ -109,6 +113,10 @@
         busy: seen.busy,
         tries_pct: tries * 100 / (trace.jobs.len() as u64).max(1),
         useful_pct: useful_ms(trace, seen) * 100 / slots_ms.max(1),
+        completion_ms: completions(trace, seen)
+            .iter()
+            .filter_map(|one| Some((one.kind.to_string(), quantiles(&one.samples_ms)?)))
+            .collect(),
         peak: quantiles(&seen.peaks),
     }
 }
--- a/src/reducer/requests/sending.rs
+++ b/src/reducer/requests/sending.rs
@@ -213,11 +213,12 @@
         let took_ms = view.now.mono_ms.saturating_sub(sent.at_ms);
         let queue = self.queues.get(&found.kind.name);
         let usual_ms = queue.map_or(0, |queue| queue.service_ms());
+        let trusted = queue.is_some_and(|queue| queue.is_trusted());
         let left_ms = usual_ms.saturating_sub(took_ms).max(GHOST_MS);
         self.routing
             .abandoned(&sent.runner, view.now.mono_ms, left_ms);
         let mark = match mark {
-            Mark::Neutral if took_ms > LATE_FACTOR * usual_ms => Mark::Error,
+            Mark::Neutral if trusted && took_ms > LATE_FACTOR * usual_ms => Mark::Error,
             mark => mark,
         };
         self.judge(view, req, &sent, mark, effects);
@@ -255,7 +256,11 @@
             TryEnd::Answered { .. } => {
                 let took_ms = view.now.mono_ms.saturating_sub(sent.at_ms);
                 let queue = self.queues.open(&found.kind);
-                let usual_ms = queue.service_ms();
+                // A configured service time may be far off, so nothing is slow by that one.
+                let usual_ms = match queue.is_trusted() {
+                    true => queue.service_ms(),
+                    false => took_ms,
+                };
                 self.queues.served(&found.kind, took_ms);
                 Mark::Good { took_ms, usual_ms }
             }
--- a/tests/requests_policy.rs
+++ b/tests/requests_policy.rs
@@ -263,6 +263,48 @@
     assert_eq!("uuuuupuuuupuuuupuuuu", order);
 }
 
+#[test]
+fn the_share_of_patient_requests_is_one_of_time() {
+    let mut world = World::start(1, 1, 1);
+    world.arrive(0, "scan", None, 0);
+    for i in 0..150 {
+        world.arrive_with(0, "scan", None, 0, |arrival| {
+            arrival.deadline_ms = Some(100_000);
+        });
+        world.arrive_with(0, "entry", Some(&format!("k{i}")), 0, |arrival| {
+            arrival.deadline_ms = Some(100_000);
+        });
+    }
+    world.sync();
+    let mut time_ms = [0, 0];
+    for _ in 0..100 {
+        let dispatch = world.vms[0].tries[0].dispatch.clone();
+        let took_ms = if dispatch.proven { 100 } else { 1_000 };
+        time_ms[usize::from(dispatch.proven)] += took_ms;
+        world.now_ms += took_ms;
+        world.end(0, 0, answered(&dispatch.req, 200), true);
+    }
+    let patient_pct = time_ms[0] * 100 / (time_ms[0] + time_ms[1]);
+    assert!((15..=35).contains(&patient_pct), "{time_ms:?}");
+}
+
+#[test]
+fn an_outage_of_every_runner_is_probed_in_steps() {
+    let mut world = World::start(1, 50, 8);
+    let mut tries = 0;
+    for i in 0..1_500 {
+        world.arrive(0, "entry", Some(&format!("k{i}")), 0);
+        world.sync();
+        while !world.vms[0].tries.is_empty() {
+            tries += 1;
+            world.end(0, 0, broken(), true);
+        }
+        world.advance(10);
+    }
+    // Each runner fails once, and then there is one probe in 250 ms of 15 s.
+    assert!((50..=50 + 60).contains(&tries), "{tries}");
+}
+
 #[test]
 fn the_final_error_does_not_depend_on_the_order_of_failures() {
     let ends = [
