feat(drain): go on accepting while the balancer notices that a VM leaves

Cause: a VM that was told to stop refused new calls at once, before its balancer could have seen that it is no longer ready; and at 10 ms of gathering, 7 VMs under keyed load append at more than a hundred a second.

--- a/src/configs/log.rs
+++ b/src/configs/log.rs
@@ -35,7 +35,7 @@
             call_ms: 2_000,
             poll_ms: 1_000,
             page: 512,
-            group_ms: 10,
+            group_ms: 25,
             group_entries: 256,
             retry_ms: 200,
             checkpoint_every: 2_000,
--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -126,6 +126,7 @@
     "callers.listen" "" Listen, false, "The address for callers.";
     "callers.body_bytes" "bytes" Number(1_024, 67_108_864), false, "The largest request body.";
     "callers.open_calls" "calls" Number(1, 100_000), false, "The most calls in progress at once.";
+    "callers.notice_ms" "ms" Number(0, MINUTE_MS), false, "The time for which a leaving VM still accepts, so that the balancer notices first.";
     "callers.drain_ms" "ms" Number(0, HOUR_MS), false, "The longest time that a planned stop waits for requests in progress.";
     "gangs.plan_ms" "ms" Number(1, MINUTE_MS), false, "The time between two rounds of planning.";
     "gangs.age_ms" "ms" Number(1_000, DAY_MS), false, "The wait after which a queued gang gains a priority.";
--- a/src/modules/ops.rs
+++ b/src/modules/ops.rs
@@ -54,7 +54,8 @@
 async fn ready(State(ops): State<Ops>) -> Response {
     let state = ops.engine.ask(|state, _| {
         json!({
-            "ready": state.ready() && !state.draining,
+            "ready": state.ready() && !state.leaving,
+            "leaving": state.leaving,
             "draining": state.draining,
             "caught_up": state.caught_up,
             "log_up": state.log_up,
--- a/src/modules/peers.rs
+++ b/src/modules/peers.rs
@@ -78,7 +78,7 @@
         control: state.ledger.next,
         cfg: state.staged.next.max(state.ledger.catalog.next),
         log_up: state.log_up,
-        draining: state.draining || state.ledger.catalog.too_new.is_some(),
+        draining: state.leaving || state.ledger.catalog.too_new.is_some(),
         loads: state.requests.loads(),
         digest: state.digest,
     }
--- a/src/modules/process.rs
+++ b/src/modules/process.rs
@@ -176,8 +176,13 @@
 impl Running {
     /// Stops as planned: takes no new work, finishes what is in progress, and appends the rest.
     pub async fn drain(mut self) {
-        self.engine.tell(Event::Drain).await;
+        self.engine.tell(Event::Leave).await;
         Note::new(&events::PROCESS_DRAINING, &self.ctx.writer, 0).log();
+        if self.callers.is_some() {
+            let notice_ms = self.ctx.settings.callers.notice_ms;
+            tokio::time::sleep(Duration::from_millis(notice_ms)).await;
+        }
+        self.engine.tell(Event::Drain).await;
         let drain_ms = self.ctx.settings.callers.drain_ms;
         let end = Instant::now() + Duration::from_millis(drain_ms);
         while Instant::now() < end {
@@ -303,7 +308,7 @@
             (
                 state.restored,
                 state.ready(),
-                state.draining,
+                state.leaving,
                 state.ledger.catalog.next,
             )
         });
--- a/src/modules/timings.rs
+++ b/src/modules/timings.rs
@@ -79,6 +79,7 @@
         Event::Members { .. } => "members",
         Event::Peer(_) => "peer",
         Event::Synced { .. } => "synced",
+        Event::Leave => "leave",
         Event::Drain => "drain",
         Event::Woke => "woke",
     }
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -184,7 +184,9 @@
         /// Its answer, or nothing if it gave none.
         answer: Option<SyncAnswer>,
     },
-    /// A planned stop began.
+    /// A planned stop began: this VM leaves rotation, and still accepts.
+    Leave,
+    /// This VM accepts nothing more.
     Drain,
     /// What the process knows may be out of date: it was paused, or it lags behind the log.
     Woke,
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -58,6 +58,8 @@
     /// Whether the log was reached at the last try.
     pub log_up: bool,
     /// Whether a planned stop began.
+    pub leaving: bool,
+    /// Whether nothing more is accepted.
     pub draining: bool,
     /// The hash of the ledger at the last offset at which all processes take one.
     pub digest: Option<Digest>,
@@ -124,7 +126,11 @@
             let keeper = &mut state.keeper;
             keeper.synced(ledger, &worker, answer.as_ref(), now, &mut effects);
         }
-        Event::Drain => state.draining = true,
+        Event::Leave => state.leaving = true,
+        Event::Drain => {
+            state.leaving = true;
+            state.draining = true;
+        }
         Event::Woke => {
             state.caught_up = false;
             state.woke_ms = Some(now.mono_ms);
--- a/standins/src/demo/report.rs
+++ b/standins/src/demo/report.rs
@@ -48,6 +48,10 @@
     pub rows: Vec<Row>,
     /// The gangs.
     pub gangs: Vec<GangOutcome>,
+    /// The appends to the log, over all streams and processes.
+    pub appends: u64,
+    /// The bytes that were appended.
+    pub bytes: u64,
     /// Each promise that broke; empty if all held.
     pub broken: Vec<String>,
 }
@@ -59,6 +63,7 @@
         for call in outcomes.calls {
             kinds.entry(call.kind.clone()).or_default().push(call);
         }
+        let counts = platform.log.counts();
         let mut broken = Vec::new();
         check_calls(platform, &kinds, &mut broken);
         check_gangs(platform, &outcomes.gangs, &mut broken);
@@ -66,6 +71,8 @@
             deployment: platform.deployment.name.clone(),
             rows: kinds.iter().map(|(kind, calls)| row(kind, calls)).collect(),
             gangs: outcomes.gangs,
+            appends: counts.appends,
+            bytes: counts.bytes,
             broken,
         }
     }
@@ -164,6 +171,11 @@
             )?;
         }
         writeln!(f)?;
+        writeln!(
+            f,
+            "{} appends to the log, {} bytes",
+            self.appends, self.bytes
+        )?;
         if self.broken.is_empty() {
             return writeln!(f, "every promise held");
         }
--- a/tests/process_gangs.rs
+++ b/tests/process_gangs.rs
@@ -102,10 +102,13 @@
     let frozen = [&fleet.platform.workers[1], &fleet.platform.workers[5]];
     frozen.iter().for_each(|worker| worker.freeze());
     submit(&fleet, 0, "scoring", &scan("held", 4, 500), 500).await;
-    until("the others are ready and the gang is queued again", async || {
-        let gang = fleet.gang(0, "scoring", "held").await.unwrap_or_default();
-        gang["phase"] == json!("queued") && gang["attempt"].as_u64() > Some(0)
-    })
+    until(
+        "the others are ready and the gang is queued again",
+        async || {
+            let gang = fleet.gang(0, "scoring", "held").await.unwrap_or_default();
+            gang["phase"] == json!("queued") && gang["attempt"].as_u64() > Some(0)
+        },
+    )
     .await;
     let started = fleet.platform.history.of_job("held");
     assert!(started.is_empty(), "{started:?}");
