perf(gang): put urgent work first and stop the same gang less often

Causes found: guaranteed work that was not urgent took the slots that had been cleared for urgent work; the gang that had just restarted was always the cheapest to stop; a reserve by open shapes outweighed best fit; small work used up the large guaranteed shapes; a gang went back to the worker on which it had failed. Now urgent work is first in line, each earlier placement adds a restart to the cost of a stop, packing is best fit by rack, work that can be stopped counts only within shapes of at most twice its size, and rounds run on changes instead of each 100 ms.

--- a/src/bench/measures.rs
+++ b/src/bench/measures.rs
@@ -174,13 +174,16 @@
     }
 }
 
-/// Tells whether a gang was accepted and got no final answer, or failed by no fault of its own.
+/// Tells whether a gang was accepted and got no final answer, or failed by no fault of its own
+/// though it could have run again.
 fn lost(ledger: &Ledger, id: &Name, one: &TraceJob) -> bool {
-    match ledger.gangs.all.get(id).map(|gang| &gang.phase) {
-        None => false,
-        Some(Phase::Ended(Ending::Failed(_))) => !one.faulty,
-        Some(Phase::Ended(_)) => false,
-        Some(_) => true,
+    let Some(gang) = ledger.gangs.all.get(id) else {
+        return false;
+    };
+    match gang.phase {
+        Phase::Ended(Ending::Failed(_)) => !one.faulty && !gang.firm,
+        Phase::Ended(_) => false,
+        _ => true,
     }
 }
 
--- a/src/bench/policies.rs
+++ b/src/bench/policies.rs
@@ -88,8 +88,8 @@
         let Some(slots) = fill(trial, gang, group) else {
             continue;
         };
-        let covers = trial.standing.cover(&ledger.fleet, &job.workspace, &slots);
-        if firm && covers.is_none() {
+        let standing = &mut trial.standing;
+        if guarantee::check_place(standing, &ledger.fleet, job, firm, &slots).is_err() {
             continue;
         }
         for slot in &slots {
--- a/src/bench/replay.rs
+++ b/src/bench/replay.rs
@@ -100,6 +100,8 @@
     waiting: Vec<Entry>,
     flushing: bool,
     seq: u64,
+    /// The next control offset when the chooser last chose.
+    chosen: Offset,
 }
 
 impl<'a> Replay<'a> {
@@ -123,6 +125,7 @@
             waiting: Vec::new(),
             flushing: false,
             seq: 0,
+            chosen: 0,
         };
         replay.begin();
         replay
@@ -209,9 +212,11 @@
         let Some(chooser) = &self.chooser else {
             return;
         };
-        if self.flushing || self.state.ledger.gangs.queued.is_empty() {
+        let next = self.state.ledger.next;
+        if self.flushing || self.chosen == next {
             return;
         }
+        self.chosen = next;
         for entry in chooser.propose(&self.state.ledger) {
             self.append(entry);
         }
--- a/src/configs/gangs.rs
+++ b/src/configs/gangs.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct GangsConfig {
-    /// The time between two rounds of planning.
+    /// The time between two rounds of planning when nothing changes.
     pub plan_ms: u64,
     /// The wait after which a queued gang gains a priority.
     pub age_ms: u64,
@@ -20,7 +20,7 @@
 impl Default for GangsConfig {
     fn default() -> Self {
         Self {
-            plan_ms: 100,
+            plan_ms: 1_000,
             age_ms: 600_000,
             rank_ms: 1_000,
             batch: 64,
--- a/src/reducer/plan/board.rs
+++ b/src/reducer/plan/board.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 
 /// The time after which a stop that has not ended is no longer waited for, in milliseconds.
-pub const STOP_WAIT_MS: u64 = 15_000;
+pub const STOP_WAIT_MS: u64 = 4_000;
 
 /// What one worker can still give.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/src/reducer/plan/guarantee.rs
+++ b/src/reducer/plan/guarantee.rs
@@ -16,6 +16,10 @@
 use crate::reducer::ledger::gangs::Gangs;
 use std::collections::BTreeMap;
 
+/// The largest guaranteed shape that work which can be stopped is counted within, in multiples of
+/// the work's own size; so small work does not use up the shapes of large work.
+pub const COVER_FACTOR: u64 = 2;
+
 /// What a configuration gives: the assignment, and which gangs are within it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Promise {
@@ -74,11 +78,10 @@
         if !gang.firm && gang.cover.is_empty() {
             continue;
         }
-        let found = standing.cover(fleet, &gang.job.workspace, &gang.slots);
+        let found = check_place(&mut standing, fleet, &gang.job, gang.firm, &gang.slots);
         let found = match found {
-            Some(found) => found,
-            None if gang.firm => block(&mut standing, fleet, gang)?,
-            None => continue,
+            Ok(found) => found,
+            Err(_) => block(&mut standing, fleet, gang)?,
         };
         covers.insert(gang.job.id.clone(), found);
     }
@@ -135,7 +138,11 @@
     firm: bool,
     slots: &[Slot],
 ) -> std::result::Result<Vec<Cover>, Void> {
-    match standing.cover(fleet, &job.workspace, slots) {
+    let most = match firm {
+        true => u64::MAX,
+        false => cover_max(job),
+    };
+    match standing.cover(fleet, &job.workspace, slots, most) {
         Some(covers) => Ok(covers),
         None if firm => Err(Void::Guarantee(format!(
             "{} cannot be stopped and its slots are not within a shape guaranteed to {}",
@@ -145,6 +152,11 @@
     }
 }
 
+/// Returns the largest guaranteed shape that a gang which can be stopped is counted within.
+pub fn cover_max(job: &Job) -> u64 {
+    size(job) * COVER_FACTOR
+}
+
 /// Returns the accelerators that a workspace holds.
 pub fn held_by(ledger: &Ledger, workspace: &Name) -> u64 {
     ledger.gangs.held.get(workspace).copied().unwrap_or(0)
--- a/src/reducer/plan/pack.rs
+++ b/src/reducer/plan/pack.rs
@@ -3,7 +3,6 @@
 use super::board::Board;
 use super::board::Rest;
 use super::board::Spot;
-use super::standing::Standing;
 use crate::model::Adjacency;
 use crate::model::Job;
 use crate::prelude::*;
@@ -16,56 +15,16 @@
     pub job: &'a Job,
     /// What a worker can give to it.
     pub rest: &'a dyn Fn(usize, &Spot<'_>) -> Rest,
-    /// The guaranteed accelerators that no work within a guarantee holds.
-    pub open: &'a Open,
     /// The workers that it should not use.
     pub avoid: &'a dyn Fn(&Name) -> bool,
 }
 
-/// The guaranteed accelerators that no work within a guarantee holds, by their domain.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Open {
-    all: BTreeMap<Name, u32>,
-    own: BTreeMap<Name, u32>,
-}
-
-impl Open {
-    /// Sums up the open cells, those of `workspace` apart from the rest.
-    pub fn new(standing: &Standing, workspace: &Name) -> Self {
-        let mut open = Self::default();
-        for (owner, cells) in &standing.cells {
-            let map = match owner == workspace {
-                true => &mut open.own,
-                false => &mut open.all,
-            };
-            for cell in cells.iter().filter(|cell| !cell.place.is_empty()) {
-                let rest = cell.shape.accelerators - cell.used;
-                *map.entry(cell.place.clone()).or_insert(0) += rest;
-            }
-        }
-        open
-    }
-
-    /// Ranks a worker: its gang's own open shapes first, those of others last.
-    fn order(&self, spot: &Spot<'_>) -> u8 {
-        let sum = |map: &BTreeMap<Name, u32>| {
-            let by_worker = map.get(spot.name).copied().unwrap_or(0);
-            by_worker + map.get(&spot.host.rack).copied().unwrap_or(0)
-        };
-        match (sum(&self.own), sum(&self.all)) {
-            (1.., _) => 0,
-            (0, 0) => 1,
-            _ => 2,
-        }
-    }
-}
-
 /// A domain that can take the whole gang.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
     /// The workers, in the order in which they are filled.
     pub spots: Vec<usize>,
-    order: (u32, u64, u64),
+    order: (u64, u64),
 }
 
 /// Returns the domains that can take a gang, the best first.
@@ -139,36 +98,23 @@
         room += u64::from(here);
         left += u64::from(rest.mask.count_ones());
         let in_rack = racks.get(&spot.host.rack).copied().unwrap_or(0);
-        let order = u32::from(search.open.order(spot));
-        keyed.push((order, in_rack, rest.mask.count_ones(), i));
+        keyed.push((in_rack, rest.mask.count_ones(), i));
     }
     if room < u64::from(job.members) {
         return None;
     }
     keyed.sort_unstable();
-    let (worst, in_rack) = reach(&keyed, board, search);
     let left = left.saturating_sub(u64::from(job.members) * u64::from(job.accelerators));
+    let in_rack = keyed.first().map_or(0, |first| first.0);
     Some(Choice {
-        spots: keyed.into_iter().map(|(_, _, _, i)| i).collect(),
-        order: (worst, left, in_rack),
+        spots: keyed.into_iter().map(|(_, _, i)| i).collect(),
+        order: match job.adjacency {
+            Adjacency::Worker => (in_rack, left),
+            _ => (left, in_rack),
+        },
     })
 }
 
-/// Returns the worst order among the workers that are filled, and the rest of the first's rack.
-fn reach(keyed: &[(u32, u64, u32, usize)], board: &Board<'_>, search: &Search<'_>) -> (u32, u64) {
-    let mut need = search.job.members;
-    let mut worst = 0;
-    for (order, _, _, i) in keyed {
-        if need == 0 {
-            break;
-        }
-        let rest = (search.rest)(*i, &board.spots[*i]);
-        need = need.saturating_sub(rest.room(search.job));
-        worst = worst.max(*order);
-    }
-    (worst, keyed.first().map_or(0, |first| first.1))
-}
-
 fn rack_rests<'a>(board: &Board<'a>) -> BTreeMap<&'a Name, u64> {
     let mut racks = BTreeMap::new();
     for spot in &board.spots {
--- a/src/reducer/plan/queue.rs
+++ b/src/reducer/plan/queue.rs
@@ -18,7 +18,7 @@
 /// Ranks a gang.
 ///
 /// Within a priority, a gang is put back by a share of its expected run time that the weights
-/// give, but never by more than the ageing time, so that long work is not starved.
+/// give, but never by more than half of the ageing time, so that long work is not starved.
 pub fn rank<'a>(ledger: &Ledger, config: &GangsConfig, now_ms: u64, gang: &'a Gang) -> Rank<'a> {
     let waited_ms = now_ms.saturating_sub(gang.submitted_ms);
     let raised = waited_ms / config.age_ms.max(1);
@@ -28,7 +28,7 @@
     };
     let share = u64::from(ledger.catalog.weights().completion);
     let left_ms = left_ms(ledger, gang);
-    let back_ms = (left_ms * share / 100).min(config.age_ms);
+    let back_ms = (left_ms * share / 100).min(config.age_ms / 2);
     Rank {
         class,
         score: gang.submitted_ms + back_ms,
--- a/src/reducer/plan/round.rs
+++ b/src/reducer/plan/round.rs
@@ -3,7 +3,6 @@
 use super::board::Board;
 use super::guarantee;
 use super::pack;
-use super::pack::Open;
 use super::pack::Search;
 use super::queue;
 use super::queue::Rank;
@@ -24,7 +23,7 @@
 use std::collections::BTreeSet;
 
 /// The most queued gangs that one round looks at.
-const LOOK_MAX: usize = 256;
+const LOOK_MAX: usize = 128;
 /// The most gangs that one round keeps a domain for.
 const RESERVE_MAX: usize = 8;
 /// The most domains that are tried for a gang that must be within its guarantee.
@@ -86,7 +85,10 @@
     let mut waiting: Vec<&Gang> = waiting.collect();
     waiting.sort_by_cached_key(|gang| round.rank(gang));
     let entitled = entitled(ledger, &waiting);
-    waiting.sort_by_key(|gang| !entitled.contains(&gang.job.id));
+    waiting.sort_by_key(|gang| {
+        let urgent = round.rank(gang).class == 0;
+        (!urgent, !entitled.contains(&gang.job.id))
+    });
     let mut draft = Draft {
         round,
         board: Board::new(ledger, now_ms),
@@ -109,17 +111,16 @@
 
 /// Returns the gangs that the open part of their workspace's guarantees covers, in their order.
 fn entitled(ledger: &Ledger, waiting: &[&Gang]) -> BTreeSet<Name> {
-    let mut open: BTreeMap<&Name, u64> = BTreeMap::new();
+    let mut taken: BTreeMap<&Name, u64> = BTreeMap::new();
     let mut found = BTreeSet::new();
     for gang in waiting {
         let workspace = &gang.job.workspace;
         let standing = &ledger.gangs.standing;
-        let left = open
-            .entry(workspace)
-            .or_insert_with(|| u64::from(standing.open(workspace)));
+        let taken = taken.entry(workspace).or_insert(0);
         let size = guarantee::size(&gang.job);
-        if size <= *left {
-            *left -= size;
+        let open = standing.open(workspace, guarantee::cover_max(&gang.job));
+        if *taken + size <= open {
+            *taken += size;
             found.insert(gang.job.id.clone());
         }
     }
@@ -129,6 +130,10 @@
 impl Draft<'_> {
     fn plan(&mut self, gang: &Gang) {
         let job = &gang.job;
+        let size = self.size(job);
+        if self.stuck.contains(&size) {
+            return;
+        }
         if let Err(void) = fit::can_run(self.round.ledger, job) {
             self.entries.push(Entry::Reject {
                 job: job.id.clone(),
@@ -136,25 +141,17 @@
             });
             return;
         }
-        let size = self.size(job);
-        if self.over_quota(job) || self.stuck.contains(&size) {
-            return;
-        }
-        let open = Open::new(&self.standing, &job.workspace);
-        if let Some(slots) = self.find_free(gang, &open, &gang.failed_on) {
-            self.place(gang, slots);
+        if self.over_quota(job) {
             return;
         }
-        if !gang.failed_on.is_empty()
-            && let Some(slots) = self.find_free(gang, &open, &BTreeSet::new())
-        {
+        if let Some(slots) = self.find_free(gang) {
             self.place(gang, slots);
             return;
         }
-        if self.wait_for_stops(gang, &open) {
+        if self.wait_for_stops(gang) {
             return;
         }
-        if !self.reclaim(gang, &open) {
+        if !self.reclaim(gang) {
             self.reserve(gang);
         }
         self.stuck.insert(size);
@@ -169,7 +166,7 @@
     }
 
     /// Finds slots that are free now and keep to the reservations.
-    fn find_free(&mut self, gang: &Gang, open: &Open, avoid: &BTreeSet<Name>) -> Option<Vec<Slot>> {
+    fn find_free(&mut self, gang: &Gang) -> Option<Vec<Slot>> {
         let firm = self.firm(&gang.job);
         let late_ms = self.late_ms(gang, firm);
         let search = Search {
@@ -178,16 +175,13 @@
                 (Some(until_ms), Some(late_ms)) if late_ms > until_ms => Default::default(),
                 _ => spot.free,
             },
-            open,
-            avoid: &|worker| avoid.contains(worker),
+            avoid: &|worker| gang.failed_on.contains(worker),
         };
         for choice in pack::choices(&self.board, &search).iter().take(TRIES_MAX) {
             let Some(slots) = pack::fill(&self.board, &search, choice) else {
                 continue;
             };
-            let fleet = &self.round.ledger.fleet;
-            let covers = self.standing.cover(fleet, &gang.job.workspace, &slots);
-            if covers.is_some() || !firm {
+            if self.count(&gang.job, firm, &slots) {
                 return Some(slots);
             }
         }
@@ -195,11 +189,10 @@
     }
 
     /// Keeps free accelerators and those of ending stops for a gang that they suffice for.
-    fn wait_for_stops(&mut self, gang: &Gang, open: &Open) -> bool {
+    fn wait_for_stops(&mut self, gang: &Gang) -> bool {
         let search = Search {
             job: &gang.job,
             rest: &|_, spot| spot.soon,
-            open,
             avoid: &|worker| gang.failed_on.contains(worker),
         };
         let choices = pack::choices(&self.board, &search);
@@ -209,19 +202,16 @@
         let Some(slots) = pack::fill(&self.board, &search, choice) else {
             return false;
         };
-        if self.firm(&gang.job) {
-            let fleet = &self.round.ledger.fleet;
-            let covers = self.standing.cover(fleet, &gang.job.workspace, &slots);
-            if covers.is_none() {
-                return false;
-            }
+        let firm = self.firm(&gang.job);
+        if !self.count(&gang.job, firm, &slots) {
+            return false;
         }
         self.board.take(&gang.job, &slots);
         true
     }
 
     /// Stops other work for a gang that has a claim to its room.
-    fn reclaim(&mut self, gang: &Gang, open: &Open) -> bool {
+    fn reclaim(&mut self, gang: &Gang) -> bool {
         let ledger = self.round.ledger;
         let urgent = self.round.rank(gang).class == 0;
         let claim = match self.entitled.contains(&gang.job.id) {
@@ -229,14 +219,12 @@
             false if urgent => Claim::Urgent,
             false => Claim::Passed,
         };
-        let found = victims::find(&self.round, &self.board, open, gang, claim, &self.stopped);
+        let found = victims::find(&self.round, &self.board, gang, claim, &self.stopped);
         let Some(plan) = found else {
             return false;
         };
-        let covers = self
-            .standing
-            .cover(&ledger.fleet, &gang.job.workspace, &plan.slots);
-        if covers.is_none() && self.firm(&gang.job) {
+        let firm = self.firm(&gang.job);
+        if !self.count(&gang.job, firm, &plan.slots) {
             return false;
         }
         for victim in plan.victims {
@@ -280,6 +268,12 @@
         });
     }
 
+    /// Counts slots in the standing assignment; `false` if they may not be used.
+    fn count(&mut self, job: &Job, firm: bool, slots: &[Slot]) -> bool {
+        let fleet = &self.round.ledger.fleet;
+        guarantee::check_place(&mut self.standing, fleet, job, firm, slots).is_ok()
+    }
+
     fn firm(&self, job: &Job) -> bool {
         !stoppable(self.round.ledger.catalog.kind(&job.kind))
     }
--- a/src/reducer/plan/standing.rs
+++ b/src/reducer/plan/standing.rs
@@ -104,18 +104,28 @@
         self.cells.get(&id.workspace)?.get(id.index as usize)
     }
 
-    /// Returns the accelerators of a workspace's guarantees that no work within them holds.
-    pub fn open(&self, workspace: &Name) -> u32 {
+    /// Returns the accelerators of a workspace's guaranteed shapes, of at most `most` each, that no
+    /// work within them holds.
+    pub fn open(&self, workspace: &Name, most: u64) -> u64 {
         let cells = self.cells.get(workspace).into_iter().flatten();
-        cells.map(|cell| cell.shape.accelerators - cell.used).sum()
+        let cells = cells.filter(|cell| u64::from(cell.shape.accelerators) <= most);
+        let rests = cells.map(|cell| u64::from(cell.shape.accelerators - cell.used));
+        rests.sum()
     }
 
-    /// Counts a gang's slots within the guarantee of its workspace, and reassigns what must move.
+    /// Counts a gang's slots within the guarantee of its workspace, in shapes of at most `most`
+    /// accelerators, and reassigns what must move.
     ///
     /// Nothing changes if this cannot be done.
-    pub fn cover(&mut self, fleet: &Fleet, workspace: &Name, slots: &[Slot]) -> Option<Vec<Cover>> {
+    pub fn cover(
+        &mut self,
+        fleet: &Fleet,
+        workspace: &Name,
+        slots: &[Slot],
+        most: u64,
+    ) -> Option<Vec<Cover>> {
         let mut steps = Vec::new();
-        let covers = self.try_cover(fleet, workspace, slots, &mut steps);
+        let covers = self.try_cover(fleet, workspace, slots, most, &mut steps);
         let met = covers.is_some() && repack::relieve(self, fleet, &mut steps);
         if met {
             return covers;
@@ -184,13 +194,14 @@
         fleet: &Fleet,
         workspace: &Name,
         slots: &[Slot],
+        most: u64,
         steps: &mut Vec<Step>,
     ) -> Option<Vec<Cover>> {
         let mut covers = Vec::new();
         for (worker, accelerators) in by_worker(slots) {
             let mut left = accelerators;
             while left > 0 {
-                let index = self.choose(fleet, workspace, &worker, left)?;
+                let index = self.choose(fleet, workspace, &worker, left, most)?;
                 let id = CellId {
                     workspace: workspace.clone(),
                     index,
@@ -218,13 +229,21 @@
 
     /// Chooses the cell that accelerators on `worker` cover: one that need not move, the narrowest,
     /// and the one whose rest is the closest to what is needed.
-    fn choose(&self, fleet: &Fleet, workspace: &Name, worker: &Name, need: u32) -> Option<u32> {
+    fn choose(
+        &self,
+        fleet: &Fleet,
+        workspace: &Name,
+        worker: &Name,
+        need: u32,
+        most: u64,
+    ) -> Option<u32> {
         let cells = self.cells.get(workspace)?;
         let fitting = cells.iter().enumerate().filter_map(|(i, cell)| {
             let rest = cell.shape.accelerators - cell.used;
             let place = domain(fleet, cell.shape.adjacency, worker)?;
             let there = cell.place == place;
-            let can = rest > 0 && (there || cell.used == 0);
+            let small = u64::from(cell.shape.accelerators) <= most;
+            let can = rest > 0 && small && (there || cell.used == 0);
             let order = (
                 !there,
                 cell.shape.adjacency,
--- a/src/reducer/plan/victims.rs
+++ b/src/reducer/plan/victims.rs
@@ -4,7 +4,6 @@
 use super::board::Rest;
 use super::pack;
 use super::pack::Choice;
-use super::pack::Open;
 use super::pack::Search;
 use super::round::Round;
 use crate::prelude::*;
@@ -16,6 +15,8 @@
 
 /// The time that a stop and a later start cost the stopped gang, in milliseconds.
 pub const RESTART_MS: u64 = 30_000;
+/// The most victims of one plan that are looked at again, to spare those that are not needed.
+const PRUNE_MAX: usize = 16;
 /// The most domains that are looked at for one gang.
 const DOMAINS_MAX: usize = 32;
 
@@ -45,7 +46,6 @@
 pub fn find(
     round: &Round<'_>,
     board: &Board<'_>,
-    open: &Open,
     gang: &Gang,
     claim: Claim,
     taken: &BTreeSet<Name>,
@@ -62,17 +62,17 @@
     let search = Search {
         job: &gang.job,
         rest: &rest,
-        open,
         avoid: &|worker| gang.failed_on.contains(worker),
     };
     let choices = pack::choices(board, &search);
     let plans = choices.iter().take(DOMAINS_MAX);
-    let plans = plans.filter_map(|choice| within(round, board, open, gang, choice, &victims));
+    let plans = plans.filter_map(|choice| within(round, board, gang, choice, &victims));
     let plans = plans.filter(|plan| claim != Claim::Passed || pays(round, gang, plan.cost));
     plans.min_by_key(|plan| plan.cost)
 }
 
-/// Returns the accelerator milliseconds that stopping a gang loses.
+/// Returns the accelerator milliseconds that stopping a gang loses; each placement that it already
+/// had adds a restart, so that the same gang is not stopped over and over.
 pub fn lost_ms(round: &Round<'_>, gang: &Gang) -> u64 {
     let kind = round.ledger.catalog.kind(&gang.job.kind);
     let ran_ms = match gang.started {
@@ -81,8 +81,9 @@
     };
     let lost_ms = match kind.is_some_and(|kind| kind.checkpoint) {
         true => ran_ms.min(RESTART_MS),
-        false => ran_ms + RESTART_MS.min(ran_ms),
+        false => ran_ms,
     };
+    let lost_ms = lost_ms + RESTART_MS * u64::from(gang.attempt);
     lost_ms * u64::from(gang.accelerators().max(1))
 }
 
@@ -91,7 +92,7 @@
     let waited_ms = round.now_ms.saturating_sub(gang.submitted_ms);
     let gain = waited_ms * u64::from(gang.accelerators());
     let share = u64::from(round.ledger.catalog.weights().completion);
-    cost * share.max(10) <= gain * (100 - share).max(10)
+    cost * (50 + share / 2) <= gain * 100
 }
 
 fn candidates<'a>(
@@ -133,27 +134,46 @@
 fn within(
     round: &Round<'_>,
     board: &Board<'_>,
-    open: &Open,
     gang: &Gang,
     choice: &Choice,
     victims: &[&Gang],
 ) -> Option<Plan> {
-    let inside: BTreeSet<&Name> = choice.spots.iter().map(|i| board.spots[*i].name).collect();
-    let touches = |gang: &Gang| gang.slots.iter().any(|slot| inside.contains(&slot.worker));
+    let inside: BTreeSet<usize> = choice.spots.iter().copied().collect();
+    let touches = |victim: &Gang| {
+        let mut spots = victim.slots.iter();
+        spots.any(|slot| {
+            let i = board.index(&slot.worker);
+            i.is_some_and(|i| inside.contains(&i))
+        })
+    };
     let mut chosen: Vec<&Gang> = Vec::new();
-    let mut slots = None;
+    let mut rests: BTreeMap<usize, Rest> = BTreeMap::new();
+    let mut room = 0_u64;
+    for i in &inside {
+        let rest = board.spots[*i].soon;
+        room += u64::from(rest.room(&gang.job));
+        rests.insert(*i, rest);
+    }
+    let need = u64::from(gang.job.members);
     for victim in victims.iter().filter(|victim| touches(victim)) {
-        chosen.push(victim);
-        slots = slots_with(board, open, gang, choice, &chosen);
-        if slots.is_some() {
+        if room >= need {
             break;
         }
+        chosen.push(victim);
+        for slot in &victim.slots {
+            let rest = board.index(&slot.worker).and_then(|i| rests.get_mut(&i));
+            if let Some(rest) = rest {
+                room -= u64::from(rest.room(&gang.job));
+                rest.give(&victim.job, slot.mask);
+                room += u64::from(rest.room(&gang.job));
+            }
+        }
     }
-    let mut slots = slots?;
-    for i in (0..chosen.len()).rev() {
+    let mut slots = slots_with(board, gang, choice, &chosen)?;
+    for i in (0..chosen.len()).rev().take(PRUNE_MAX) {
         let mut fewer = chosen.clone();
         fewer.remove(i);
-        if let Some(found) = slots_with(board, open, gang, choice, &fewer) {
+        if let Some(found) = slots_with(board, gang, choice, &fewer) {
             chosen = fewer;
             slots = found;
         }
@@ -167,7 +187,6 @@
 
 fn slots_with(
     board: &Board<'_>,
-    open: &Open,
     gang: &Gang,
     choice: &Choice,
     victims: &[&Gang],
@@ -180,7 +199,6 @@
     let search = Search {
         job: &gang.job,
         rest: &rest,
-        open,
         avoid: &|_| false,
     };
     pack::fill(board, &search, choice)
