feat(bench): measure what events and decisions cost at growing sizes

How the ledger and the planner grow was not known. trefoil-bench scale applies records and plans at 1/64, 1/16, 1/4 and the whole of the target. The domains now stand in an ordered set by what is left in them, so one assignment takes logarithmic time.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -4,6 +4,7 @@
 pub mod policies;
 pub mod replay;
 pub mod report;
+pub mod scale;
 pub mod trace;
 pub mod workers;
 
--- a/src/bin/trefoil_bench.rs
+++ b/src/bin/trefoil_bench.rs
@@ -1,10 +1,12 @@
 //! Measures the policy and its cost: `trefoil-bench policy|scale`.
 
 use argh::FromArgs;
+use serde::Serialize;
 use std::process::ExitCode;
 use trefoilgauge::bench;
 use trefoilgauge::bench::Deployment;
 use trefoilgauge::bench::report;
+use trefoilgauge::bench::scale;
 
 /// Measures the policy and its cost.
 #[derive(Debug, FromArgs)]
@@ -17,6 +19,16 @@
 #[argh(subcommand)]
 enum Command {
     Policy(PolicyArgs),
+    Scale(ScaleArgs),
+}
+
+/// Measures the cost of events and decisions at growing sizes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct ScaleArgs {
+    /// print one line of JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Replays a deployment's trace under each policy.
@@ -42,16 +54,21 @@
     }
 }
 
+fn print(report: &impl Serialize, line: bool) -> serde_json::Result<String> {
+    match line {
+        true => serde_json::to_string(report),
+        false => serde_json::to_string_pretty(report),
+    }
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let text = match args.command {
         Command::Policy(args) => {
             let found = report::run(&bench::parts(), args.deployment, args.seed);
-            match args.json {
-                true => serde_json::to_string(&found),
-                false => serde_json::to_string_pretty(&found),
-            }
+            print(&found, args.json)
         }
+        Command::Scale(args) => print(&scale::run(), args.json),
     };
     match text {
         Ok(text) => {
--- a/src/reducer/plan/repack.rs
+++ b/src/reducer/plan/repack.rs
@@ -37,18 +37,102 @@
         standing.shift(fleet, id, &"".into(), steps);
     }
     open.sort_by_key(|(shape, id)| (shape.adjacency, u32::MAX - shape.accelerators, id.clone()));
-    for (shape, id) in &open {
-        if shape.adjacency == Adjacency::Any {
-            continue;
+    for level in LEVELS {
+        let mut rooms = Rooms::new(standing, fleet, level);
+        let cells = open.iter().filter(|(shape, _)| shape.adjacency == level);
+        for (shape, id) in cells {
+            let Some(to) = rooms.take(standing, fleet, shape.accelerators) else {
+                return false;
+            };
+            standing.shift(fleet, id, &to, steps);
         }
-        let Some(to) = best_domain(standing, fleet, *shape) else {
-            return false;
-        };
-        standing.shift(fleet, id, &to, steps);
     }
     standing.loads.total <= fleet.total() && overloaded(standing, fleet).is_none()
 }
 
+/// The domains of a level, ordered by what is not spoken for in them.
+#[derive(Debug)]
+struct Rooms {
+    level: Adjacency,
+    free: BTreeSet<Room>,
+}
+
+/// A domain with the accelerators in it that are not spoken for; a worker that cannot be used
+/// comes after the others.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Room {
+    weak: bool,
+    size: u32,
+    place: Name,
+}
+
+impl Rooms {
+    fn new(standing: &Standing, fleet: &Fleet, level: Adjacency) -> Self {
+        let places = fleet.domains(level);
+        let rooms = places.map(|place| Room {
+            weak: weak(fleet, level, place),
+            size: room(standing, fleet, level, place),
+            place: place.clone(),
+        });
+        Self {
+            level,
+            free: rooms.filter(|one| one.size > 0).collect(),
+        }
+    }
+
+    /// Takes accelerators from the domain with the least room that they fit in.
+    fn take(&mut self, standing: &Standing, fleet: &Fleet, need: u32) -> Option<Name> {
+        let found = [false, true].into_iter().find_map(|weak| {
+            let from = Room {
+                weak,
+                size: need,
+                place: "".into(),
+            };
+            let mut fitting = self.free.range(from..).take_while(|one| one.weak == weak);
+            fitting.find(|one| fits_around(standing, fleet, self.level, &one.place, need))
+        });
+        let mut found = found?.clone();
+        self.free.remove(&found);
+        let place = found.place.clone();
+        found.size -= need;
+        if found.size > 0 {
+            self.free.insert(found);
+        }
+        Some(place)
+    }
+}
+
+fn weak(fleet: &Fleet, level: Adjacency, place: &Name) -> bool {
+    let host = fleet
+        .hosts
+        .get(place)
+        .filter(|_| level == Adjacency::Worker);
+    host.is_some_and(|host| !host.usable())
+}
+
+fn room(standing: &Standing, fleet: &Fleet, level: Adjacency, place: &Name) -> u32 {
+    let load = loads(standing, level).get(place).copied().unwrap_or(0);
+    fleet.size(level, place).saturating_sub(load)
+}
+
+/// Tells whether the domains around one can take so many accelerators more.
+fn fits_around(
+    standing: &Standing,
+    fleet: &Fleet,
+    level: Adjacency,
+    place: &Name,
+    need: u32,
+) -> bool {
+    let mut outer = LEVELS.into_iter().filter(|outer| *outer > level);
+    outer.all(|outer| {
+        let around = match level {
+            Adjacency::Worker => domain(fleet, outer, place),
+            _ => fleet.centre_of(place),
+        };
+        around.is_some_and(|around| room(standing, fleet, outer, &around) >= need)
+    })
+}
+
 /// Returns a domain that holds more than it can, if there is one.
 pub(super) fn overloaded(standing: &Standing, fleet: &Fleet) -> Option<Overload> {
     LEVELS.iter().find_map(|level| {
@@ -141,31 +225,17 @@
     open
 }
 
-/// Returns the domain with the least room that still takes a cell of `shape`; one with workers
-/// that cannot be used comes last.
+/// Returns the domain with the least room that still takes a cell of `shape`; a worker that cannot
+/// be used comes last.
 fn best_domain(standing: &Standing, fleet: &Fleet, shape: Shape) -> Option<Name> {
-    let need = shape.accelerators;
-    let room = |level: Adjacency, place: &Name| {
-        let load = loads(standing, level).get(place).copied().unwrap_or(0);
-        let size = fleet.size(level, place);
-        size.checked_sub(load).filter(|room| *room >= need)
-    };
-    let places = fleet.domains(shape.adjacency);
+    let (level, need) = (shape.adjacency, shape.accelerators);
+    let places = fleet.domains(level);
     let fitting = places.filter_map(|place| {
-        let own = room(shape.adjacency, place)?;
-        let mut outer = own;
-        if shape.adjacency == Adjacency::Worker {
-            outer = room(Adjacency::Rack, &domain(fleet, Adjacency::Rack, place)?)?;
-            room(Adjacency::Centre, &domain(fleet, Adjacency::Centre, place)?)?;
-        }
-        if shape.adjacency == Adjacency::Rack {
-            room(Adjacency::Centre, &fleet.centre_of(place)?)?;
-        }
-        let weak = shape.adjacency == Adjacency::Worker
-            && fleet.hosts.get(place).is_some_and(|host| !host.usable());
-        Some(((weak, own, outer), place))
+        let size = room(standing, fleet, level, place);
+        let fits = size >= need && fits_around(standing, fleet, level, place, need);
+        fits.then(|| (weak(fleet, level, place), size, place))
     });
-    fitting.min().map(|(_, place)| place.clone())
+    fitting.min().map(|(_, _, place)| place.clone())
 }
 
 fn around(fleet: &Fleet, cell: &Cell, level: Adjacency) -> Option<Name> {
