perf(catalog): change one object in place instead of copying all

Each accepted configuration change copied every object of the catalogue, so its cost grew with the fleet. Now the one object is replaced, and put back as it was if the check refuses the change. Ruled out: a persistent map, one more dependency for one place. So this was the smaller part: events still grow linearly, the next cause to look at is the search for a new place when a guaranteed shape has to move.

--- a/src/reducer/ledger/catalog.rs
+++ b/src/reducer/ledger/catalog.rs
@@ -192,28 +192,41 @@
             );
             return Err(Findings::one("/replaces", text));
         }
-        let mut next = self.clone_objects();
-        next.set(change.class, &change.name, change.object, version);
-        next.check(view)?;
-        next.next = self.next;
-        next.ruled = std::mem::take(&mut self.ruled);
-        next.too_new = self.too_new;
-        *self = next;
-        Ok(())
+        let before = self.held(change.class, &change.name);
+        let counts = (self.rack_changes, self.shape_changes);
+        self.set(change.class, &change.name, change.object, version);
+        let checked = self.check(view);
+        if checked.is_err() {
+            self.restore(change.class, &change.name, before);
+            (self.rack_changes, self.shape_changes) = counts;
+        }
+        checked
     }
 
-    fn clone_objects(&self) -> Self {
-        Self {
-            next: self.next,
-            workspaces: self.workspaces.clone(),
-            kinds: self.kinds.clone(),
-            pools: self.pools.clone(),
-            racks: self.racks.clone(),
-            weights: self.weights.clone(),
-            ruled: VecDeque::new(),
-            too_new: None,
-            rack_changes: self.rack_changes,
-            shape_changes: self.shape_changes,
+    /// Copies one object with its version.
+    fn held(&self, class: Class, name: &Name) -> Option<Held<Object>> {
+        let value = match class {
+            Class::Workspace => self.workspace(name).cloned().map(Object::Workspace),
+            Class::Kind => self.kind(name).cloned().map(Object::Kind),
+            Class::Pool => self.pool(name).cloned().map(Object::Pool),
+            Class::Rack => {
+                let rack = self.racks.get(name).map(|held| held.value.clone());
+                rack.map(Object::Rack)
+            }
+            Class::Weights => {
+                let weights = self.weights.as_ref().map(|held| held.value);
+                weights.map(Object::Weights)
+            }
+        };
+        let version = self.version(class, name);
+        value.map(|value| Held { version, value })
+    }
+
+    /// Puts an object back as it was before a change that was refused.
+    fn restore(&mut self, class: Class, name: &Name, before: Option<Held<Object>>) {
+        match before {
+            Some(held) => self.set(class, name, Some(held.value), held.version),
+            None => self.remove(class, name),
         }
     }
 
