fix(standins): end spans of workers that nobody calls before the history is read

The fault was the stand-in's, not the product's.

The quorum of a fleet of 3 is set for 3, as a lapse is only counted with a quorum; idle workers are called more often than they count as lost, as with the defaults of 2,000 ms and a bound of 2,000 ms live ones went to and fro between lost and up. Probed addresses are held at once, as one was given twice.

--- a/standins/src/shared.rs
+++ b/standins/src/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::Weak;
 
 /// A value behind a lock that is never held over an await.
 #[derive(Debug, Default)]
@@ -26,9 +27,30 @@
         }
     }
 
+    /// Returns a reference that does not keep the value.
+    pub fn downgrade(&self) -> WeakShared<T> {
+        WeakShared {
+            value: Arc::downgrade(&self.value),
+        }
+    }
+
     /// Calls `f` with the value while the lock is held.
     pub fn with<R>(&self, f: impl FnOnce(&mut T) -> R) -> R {
         let mut value = self.value.lock().unwrap_or_else(PoisonError::into_inner);
         f(&mut value)
     }
 }
+
+/// A reference to a shared value that does not keep it.
+#[derive(Debug)]
+pub struct WeakShared<T> {
+    value: Weak<Mutex<T>>,
+}
+
+impl<T> WeakShared<T> {
+    /// Returns the shared value if somebody still keeps it.
+    pub fn upgrade(&self) -> Option<Shared<T>> {
+        let value = self.value.upgrade()?;
+        Some(Shared { value })
+    }
+}
--- a/standins/src/worker/history.rs
+++ b/standins/src/worker/history.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
+use std::sync::Arc;
 use tokio::time::Instant;
 use trefoilgauge::prelude::Name;
 use trefoilgauge::prelude::Offset;
@@ -71,11 +72,24 @@
     }
 }
 
+/// Brings what one worker executed up to date.
+#[derive(Clone)]
+struct Source {
+    refresh: Arc<dyn Fn() + Send + Sync>,
+}
+
+impl fmt::Debug for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Source")
+    }
+}
+
 /// The executions of all workers that share it.
 #[derive(Debug, Clone)]
 pub struct History {
     began: Instant,
     spans: Shared<Vec<Span>>,
+    sources: Shared<Vec<Source>>,
 }
 
 impl Default for History {
@@ -83,6 +97,7 @@
         Self {
             began: Instant::now(),
             spans: Shared::default(),
+            sources: Shared::default(),
         }
     }
 }
@@ -93,6 +108,13 @@
         at.saturating_duration_since(self.began).as_millis() as u64
     }
 
+    /// Calls `refresh` before spans are read, as a worker that nobody calls ends none by itself.
+    pub fn follow(&self, refresh: impl Fn() + Send + Sync + 'static) {
+        let refresh = Arc::new(refresh);
+        self.sources
+            .with(|sources| sources.push(Source { refresh }));
+    }
+
     /// Adds a span, and returns its number.
     pub fn add(&self, span: Span) -> usize {
         self.spans.with(|spans| {
@@ -115,6 +137,8 @@
 
     /// Returns all spans, in the order in which they started.
     pub fn all(&self) -> Vec<Span> {
+        let sources = self.sources.with(|sources| sources.clone());
+        sources.iter().for_each(|source| (source.refresh)());
         self.spans.with(|spans| spans.clone())
     }
 
--- a/standins/src/worker/mod.rs
+++ b/standins/src/worker/mod.rs
@@ -82,6 +82,7 @@
     /// Passes on the error of the bind.
     pub async fn spawn(options: WorkerOptions) -> Result<Self> {
         let name = options.name.clone();
+        let history = options.history.clone();
         let worker = Worker {
             inner: Shared::new(Inner {
                 tasks: Tasks::new(options),
@@ -91,6 +92,12 @@
             }),
             pause: Pause::default(),
         };
+        let inner = worker.inner.downgrade();
+        history.follow(move || {
+            if let Some(inner) = inner.upgrade() {
+                inner.with(|inner| inner.tasks.advance(Instant::now()));
+            }
+        });
         let router = Router::new()
             .route("/v1/sync", post(sync))
             .route("/health", get(health))
--- a/standins/tests/worker.rs
+++ b/standins/tests/worker.rs
@@ -9,6 +9,7 @@
 use trefoilgauge::platform::WantedTask;
 use trefoilgauge_standins::client::Client;
 use trefoilgauge_standins::dose::Dose;
+use trefoilgauge_standins::serve::Reach;
 use trefoilgauge_standins::worker::Tasks;
 use trefoilgauge_standins::worker::WorkerHandle;
 use trefoilgauge_standins::worker::WorkerOptions;
@@ -226,6 +227,24 @@
     }
 }
 
+#[tokio::test]
+async fn a_lease_lapses_in_the_history_of_a_worker_that_nobody_calls() {
+    let options = WorkerOptions::default();
+    options.truth.set("scan", Fate::run(600_000));
+    let worker = WorkerHandle::spawn(options.clone()).await.unwrap();
+    let client = Client::new(Duration::from_secs(20));
+    let url = format!("http://{}/v1/sync", worker.addr());
+    for want in [Want::Prepare, Want::Run] {
+        let body = serde_json::to_vec(&call(1, &[scan(want)])).unwrap();
+        let headers = [("content-type", "application/json")];
+        client.post(&url, &headers, body).await.unwrap();
+    }
+    worker.server().set_reach(Reach::Silent);
+    while options.history.all()[0].end != Some(End::Lapsed) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[test]
 fn the_checks_find_planted_violations() {
     let span = |worker: &str, index, token, started_ms, stopped_ms, end| Span {
--- a/tests/process_gangs.rs
+++ b/tests/process_gangs.rs
@@ -5,13 +5,17 @@
 
 use serde_json::Value;
 use serde_json::json;
+use std::time::Duration;
 use support::Fleet;
 use support::until;
 use trefoilgauge_standins::dose::Dose;
+use trefoilgauge_standins::serve::Reach;
 use trefoilgauge_standins::worker::truth::Fate;
 
 /// A run time that no test waits for, in milliseconds.
 const ENDLESS_MS: u64 = 600_000;
+/// A bound on the time in which a gang that lost a worker may still run on the others.
+const GRACE_MS: u64 = 15_000;
 
 fn scan(id: &str, members: u32, run_ms: u64) -> Value {
     json!({
@@ -102,14 +106,52 @@
     let frozen = [&fleet.platform.workers[1], &fleet.platform.workers[5]];
     frozen.iter().for_each(|worker| worker.freeze());
     submit(&fleet, 0, "scoring", &scan("held", 4, 500), 500).await;
-    until("the others are ready and the gang is queued again", async || {
+    until("the gang is placed", async || {
         let gang = fleet.gang(0, "scoring", "held").await.unwrap_or_default();
-        gang["phase"] == json!("queued") && gang["attempt"].as_u64() > Some(0)
+        gang["attempt"].as_u64() > Some(0)
     })
     .await;
+    fleet
+        .wait_phase(0, "scoring", "held", &json!("queued"))
+        .await;
     let started = fleet.platform.history.of_job("held");
     assert!(started.is_empty(), "{started:?}");
     frozen.iter().for_each(|worker| worker.thaw());
     wait_done(&fleet, 0, "held").await;
     assert_whole(&fleet, "held", 4, 500);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gang_runs_again_whole_though_a_worker_is_cut_off() {
+    let fleet = Fleet::start(3).await;
+    let run_ms = 4_000;
+    submit(&fleet, 0, "scoring", &scan("cut", 2, run_ms), run_ms).await;
+    let history = &fleet.platform.history;
+    until("the gang runs", async || history.of_job("cut").len() == 2).await;
+    let on = history.of_job("cut")[0].worker.clone();
+    let mut workers = fleet.platform.workers.iter();
+    let cut = workers.find(|worker| *worker.name() == on);
+    cut.into_iter()
+        .for_each(|worker| worker.server().set_reach(Reach::Silent));
+    wait_done(&fleet, 0, "cut").await;
+    assert!(history.of_job("cut").len() > 2, "it was not placed again");
+    assert_whole(&fleet, "cut", 2, GRACE_MS);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_running_gang_is_not_stopped_by_placers_that_pause_and_wake() {
+    let fleet = Fleet::start(3).await;
+    let run_ms = 9_000;
+    submit(&fleet, 0, "scoring", &scan("calm", 4, run_ms), run_ms).await;
+    let history = &fleet.platform.history;
+    until("the gang runs", async || history.of_job("calm").len() == 4).await;
+    for vm in &fleet.vms {
+        vm.placer.signal("STOP");
+        tokio::time::sleep(Duration::from_millis(2_300)).await;
+        vm.placer.signal("CONT");
+    }
+    wait_done(&fleet, 0, "calm").await;
+    assert_whole(&fleet, "calm", 4, run_ms);
+    let tokens = history.of_job("calm").len();
+    assert_eq!(4, tokens, "{:?}", history.of_job("calm"));
+}
--- a/tests/process_path.rs
+++ b/tests/process_path.rs
@@ -66,7 +66,9 @@
 
     let single = fleet.platform.single_kinds();
     for runner in &fleet.platform.runners {
-        single.iter().for_each(|kind| runner.set_service(kind, LONG));
+        single
+            .iter()
+            .for_each(|kind| runner.set_service(kind, LONG));
     }
     let dying = fleet.vms[DOOMED].pids();
     let load = (0..28).map(|i| caller(&fleet, i % 7, i / 7));
@@ -102,7 +104,9 @@
         "{:?}",
         tally.doubled(&single)
     );
-    let elsewhere = told.iter().filter(|one| !one.call.body.contains(DOOMED_MARK));
+    let elsewhere = told
+        .iter()
+        .filter(|one| !one.call.body.contains(DOOMED_MARK));
     let refused: Vec<&Told> = elsewhere.filter(|one| !one.answered()).collect();
     assert_eq!(Vec::<&Told>::new(), refused, "callers of other VMs");
     let history = &fleet.platform.history;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -35,8 +35,11 @@
 /// The time between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(25);
 
+/// The size from which a fleet has room for VMs that replace others.
+const SPARE_FROM: usize = 7;
+
 /// The fleets that run at once; each is many processes.
-static ROOM: Semaphore = Semaphore::const_new(2);
+static ROOM: Semaphore = Semaphore::const_new(3);
 
 /// A fleet of VMs with its platform.
 pub(crate) struct Fleet {
@@ -45,6 +48,7 @@
     pub(crate) client: Client,
     net: Net,
     dir: TempDir,
+    size: usize,
     change: fn(&mut Settings),
     _room: SemaphorePermit<'static>,
 }
@@ -90,6 +94,7 @@
             client: Client::new(Duration::from_secs(30)),
             net: Net::next(),
             dir: TempDir::new().unwrap(),
+            size: vms,
             change,
             _room: room,
         };
@@ -130,6 +135,10 @@
         settings.centre = self.platform.deployment.centre(number as u32);
         settings.log.addr = self.platform.log.addr().to_string().into();
         settings.peers.vms_addr = self.platform.vms.addr().to_string().into();
+        settings.requests.fleet = self.size as u64;
+        if self.size < SPARE_FROM {
+            settings.requests.spare = 0;
+        }
         (self.change)(&mut settings);
         settings
     }
--- a/tests/support/vm.rs
+++ b/tests/support/vm.rs
@@ -37,13 +37,16 @@
         vm: format!("vm-{}", number + 1).into(),
         ..Settings::default()
     };
-    settings.callers.listen = free_addr(ip);
-    settings.ops.entry_listen = free_addr(ip);
-    settings.ops.placer_listen = free_addr(ip);
-    settings.peers.entry_listen = free_addr(ip);
-    settings.peers.placer_listen = free_addr(ip);
+    let [callers, entry_ops, placer_ops, entry_peers, placer_peers] = free_addrs(ip);
+    settings.callers.listen = callers;
+    settings.ops.entry_listen = entry_ops;
+    settings.ops.placer_listen = placer_ops;
+    settings.peers.entry_listen = entry_peers;
+    settings.peers.placer_listen = placer_peers;
     settings.peers.vms_ms = 200;
     settings.keeper.sync_ms = 250;
+    settings.keeper.idle_ms = 500;
+    settings.keeper.call_ms = 500;
     settings.keeper.lease_ms = 3_000;
     settings.keeper.lost_ms = 2_000;
     settings.keeper.lapse_ms = 6_500;
@@ -52,9 +55,11 @@
     settings
 }
 
-fn free_addr(ip: Ipv4Addr) -> Name {
-    let probe = TcpListener::bind((ip, 0)).unwrap();
-    probe.local_addr().unwrap().to_string().into()
+/// Returns free addresses; all are bound at once, so that none is given twice.
+fn free_addrs(ip: Ipv4Addr) -> [Name; 5] {
+    let probes = [0; 5].map(|port| TcpListener::bind((ip, port)).unwrap());
+    let addrs = probes.each_ref().map(|probe| probe.local_addr().unwrap());
+    addrs.map(|addr| addr.to_string().into())
 }
 
 impl Vm {
