--- a/src/bin/trefoil_bench.rs
+++ b/src/bin/trefoil_bench.rs
@@ -1,12 +1,14 @@
-//! Measures the policy and its cost, and proves the promises: `trefoil-bench policy|requests|faults`.
+//! Measures the policy and its cost, and proves the promises: `trefoil-bench policy|requests|scale|faults`.
 
 use argh::FromArgs;
+use serde::Serialize;
 use std::process::ExitCode;
 use trefoilgauge::bench;
 use trefoilgauge::bench::Deployment;
 use trefoilgauge::bench::faults::matrix;
 use trefoilgauge::bench::faults::matrix::Verdict;
 use trefoilgauge::bench::report;
+use trefoilgauge::bench::scale;
 
 /// Measures the policy and its cost.
 #[derive(Debug, FromArgs)]
@@ -21,6 +23,16 @@
     Policy(PolicyArgs),
     Requests(RequestsArgs),
     Faults(FaultsArgs),
+    Scale(ScaleArgs),
+}
+
+/// Measures the cost of events and decisions at growing sizes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct ScaleArgs {
+    /// print one line of JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Replays a deployment's trace under each policy.
@@ -76,6 +88,13 @@
     }
 }
 
+fn print(report: &impl Serialize, line: bool) -> serde_json::Result<String> {
+    match line {
+        true => serde_json::to_string(report),
+        false => serde_json::to_string_pretty(report),
+    }
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let mut code = ExitCode::SUCCESS;
@@ -86,10 +105,7 @@
         }
         Command::Policy(args) => {
             let found = report::run(&bench::parts(), args.deployment, args.seed);
-            match args.json {
-                true => serde_json::to_string(&found),
-                false => serde_json::to_string_pretty(&found),
-            }
+            print(&found, args.json)
         }
         Command::Faults(args) => {
             let found = matrix::run(args.seed, !args.single, args.threads);
@@ -101,6 +117,7 @@
                 false => Ok(summary(&found)),
             }
         }
+        Command::Scale(args) => print(&scale::run(), args.json),
     };
     match text {
         Ok(text) => {
--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -126,6 +126,7 @@
     "callers.listen" "" Listen, false, "The address for callers.";
     "callers.body_bytes" "bytes" Number(1_024, 67_108_864), false, "The largest request body.";
     "callers.open_calls" "calls" Number(1, 100_000), false, "The most calls in progress at once.";
+    "callers.notice_ms" "ms" Number(0, MINUTE_MS), false, "The time for which a leaving VM still accepts, so that the balancer notices first.";
     "callers.drain_ms" "ms" Number(0, HOUR_MS), false, "The longest time that a planned stop waits for requests in progress.";
     "gangs.plan_ms" "ms" Number(1, MINUTE_MS), false, "The time between two rounds of planning.";
     "gangs.age_ms" "ms" Number(1_000, DAY_MS), false, "The wait after which a queued gang gains a priority.";
@@ -147,6 +148,7 @@
     "log.group_entries" "entries" Number(1, 1_024), false, "The most entries of one append.";
     "log.retry_ms" "ms" Number(1, MINUTE_MS), false, "The wait before an uncertain append is settled.";
     "log.checkpoint_every" "records" Number(1, 1_000_000), false, "The control records between two checkpoints.";
+    "log.checkpoint_ms" "ms" Number(100, HOUR_MS), false, "The longest time between two checkpoints while records come.";
     "ops.entry_listen" "" Listen, false, "The operators' address of the entry process.";
     "ops.placer_listen" "" Listen, false, "The operators' address of the placer process.";
     "ops.level" "" Level, false, "The least serious log level.";
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -58,6 +58,8 @@
     /// Whether the log was reached at the last try.
     pub log_up: bool,
     /// Whether a planned stop began.
+    pub leaving: bool,
+    /// Whether nothing more is accepted.
     pub draining: bool,
     /// The hash of the ledger at the last offset at which all processes take one.
     pub digest: Option<Digest>,
@@ -68,6 +70,8 @@
     woke_ms: Option<u64>,
     behind_ms: Option<u64>,
     behind: bool,
+    saved: Offset,
+    saved_ms: u64,
 }
 
 impl State {
@@ -122,7 +126,11 @@
             let keeper = &mut state.keeper;
             keeper.synced(ledger, &worker, answer.as_ref(), now, &mut effects);
         }
-        Event::Drain => state.draining = true,
+        Event::Leave => state.leaving = true,
+        Event::Drain => {
+            state.leaving = true;
+            state.draining = true;
+        }
         Event::Woke => {
             state.caught_up = false;
             state.woke_ms = Some(now.mono_ms);
@@ -176,6 +184,7 @@
 
 fn restore(state: &mut State, ledger: Ledger) {
     state.restored = true;
+    state.saved = state.saved.max(ledger.next);
     if ledger.next <= state.ledger.next && ledger.catalog.next <= state.ledger.catalog.next {
         return;
     }
@@ -249,13 +258,21 @@
             hash: state.ledger.digest(),
         });
     }
-    let every = ctx.settings.log.checkpoint_every;
-    if ctx.process == Process::Placer && offset % every == every - 1 {
-        let rank = state.peers.rank(ctx, now, "checkpoint");
-        if rank == 0 {
-            effects.push(Effect::Checkpoint);
-        }
+}
+
+/// Asks for a checkpoint once enough records or time have passed since the last one.
+fn checkpoint(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
+    let config = &ctx.settings.log;
+    let next = state.ledger.next;
+    let records = next.saturating_sub(state.saved);
+    let late = now.mono_ms >= state.saved_ms + config.checkpoint_ms;
+    let due = records >= config.checkpoint_every || (late && records > 0);
+    if !due || state.peers.rank(ctx, now, "checkpoint") > 0 {
+        return;
     }
+    state.saved = next;
+    state.saved_ms = now.mono_ms;
+    effects.push(Effect::Checkpoint);
 }
 
 /// Takes in a heartbeat; a ledger that differs at the same offset is said loudly.
@@ -268,7 +285,19 @@
         let note = Note::new(&events::LEDGER_DIVERGED, &beat.from, cfg);
         effects.push(Effect::Note(note.with("at", own.at)));
     }
-    state.peers.hear(beat, now);
+    let from = beat.from.clone();
+    if state.peers.hear(beat, now) {
+        let cfg = state.ledger.catalog.next;
+        effects.push(Effect::Note(Note::new(&events::PEER_SEEN, &from, cfg)));
+    }
+}
+
+/// Says which peers fell silent.
+fn lose_peers(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
+    let cfg = state.ledger.catalog.next;
+    for name in state.peers.lose(ctx, now) {
+        effects.push(Effect::Note(Note::new(&events::PEER_LOST, &name, cfg)));
+    }
 }
 
 /// Tells whether this process may be out of date: behind a live peer or cut off from the log and
@@ -288,6 +317,7 @@
 
 fn tick(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
     check_age(ctx, state, now);
+    lose_peers(ctx, state, now, effects);
     touch(ctx, state, now, effects);
     match ctx.process {
         Process::Entry => {
@@ -300,6 +330,7 @@
             if !state.ready() || state.draining {
                 return;
             }
+            checkpoint(ctx, state, now, effects);
             let (ledger, peers) = (&state.ledger, &state.peers);
             let view = keeper::View {
                 ctx,
