docs(settings): say that the share of patient work is one of runner time

Cause: the option's row still named free slots. Change: one row in the table of options and one on the page, with the text of the setting. Conclusion: the page and the code say the same of this option.

--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -161,7 +161,7 @@
     "requests.queue" "requests" Number(1, 100_000), false, "The most requests that wait, for each kind.";
     "requests.fleet" "VMs" Number(1, 1_000), false, "The VMs among which a runner's slots and connections are shared.";
     "requests.spare" "VMs" Number(0, 1_000), false, "The VMs beyond `requests.fleet` that a replacement may add.";
-    "requests.patient_pct" "percent" Number(0, 100), false, "The share of free slots that goes to patient work first.";
+    "requests.patient_pct" "percent" Number(0, 100), false, "The share of the runners' time that each less pressing priority gets while it waits.";
     "requests.retry_pct" "percent" Number(0, 100), false, "Retries allowed in percent of first tries.";
     "requests.cool_ms" "ms" Number(1, HOUR_MS), false, "The first cooldown of a failing upstream; it doubles with each.";
     "requests.cool_most" "ms" Number(1, HOUR_MS), false, "The longest cooldown of an upstream.";
--- a/src/configs/requests.rs
+++ b/src/configs/requests.rs
@@ -13,8 +13,7 @@
     pub fleet: u64,
     /// The VMs beyond `fleet` that a replacement may add.
     pub spare: u64,
-    /// The share of the runners' time that each less pressing priority gets while it waits, in
-    /// percent.
+    /// The share of the runners' time that each less pressing priority gets while it waits.
     pub patient_pct: u64,
     /// Retries allowed in percent of first tries.
     pub retry_pct: u64,
