perf(peers): send the load hints with every fourth heartbeat

Cause: at the users' 50 runners a heartbeat with all loads is some 750 bytes, and to 6 peers four times a second that alone passes the 8 KB a second which control may cost a node.

Ruled out: slower heartbeats (a dead keeper would be replaced later, and urgent work has 4.5 s), and leaving out unchanged runners (under load all change).

Change: every fourth heartbeat of a connection carries the loads, the others say that they hold on; a counter peer_bytes tells what is sent.

--- a/src/modules/peers.rs
+++ b/src/modules/peers.rs
@@ -30,6 +30,8 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+/// The heartbeats of a connection of which one carries the loads.
+const LOADS_EVERY: u64 = 4;
 /// The most connections that peers may hold open.
 const PEERS_MAX: usize = 256;
 
@@ -103,11 +105,16 @@
 async fn receive(stream: TcpStream, silent_ms: u64, engine: Engine) {
     let mut frames = framed(stream);
     let limit = Duration::from_millis(silent_ms);
+    let mut loads = Vec::new();
     while let Ok(Some(Ok(frame))) = tokio::time::timeout(limit, frames.next()).await {
-        let Ok(beat) = wire::Heartbeat::decode(frame) else {
+        let Ok(mut beat) = wire::Heartbeat::decode(frame) else {
             log::warn!("a peer sent a frame that is no heartbeat");
             return;
         };
+        match beat.same_loads {
+            true => beat.loads.clone_from(&loads),
+            false => loads.clone_from(&beat.loads),
+        }
         let ack = wire::Ack { seq: beat.seq };
         if !engine.try_tell(Event::Peer(beat.into())) {
             metrics::counter!("peer_beats_dropped").increment(1);
@@ -176,7 +183,13 @@
         };
         let mut frame = wire::Heartbeat::from(beat);
         frame.seq = seq;
-        let sent = frames.send(Bytes::from(frame.encode_to_vec()));
+        frame.same_loads = seq % LOADS_EVERY != 1;
+        if frame.same_loads {
+            frame.loads.clear();
+        }
+        let bytes = frame.encode_to_vec();
+        metrics::counter!("peer_bytes").increment(bytes.len() as u64);
+        let sent = frames.send(Bytes::from(bytes));
         if !matches!(tokio::time::timeout(limit, sent).await, Ok(Ok(()))) {
             return;
         }
--- a/src/modules/wire.rs
+++ b/src/modules/wire.rs
@@ -52,6 +52,9 @@
     /// Counts the heartbeats of a connection; the other side sends it back.
     #[prost(uint64, tag = "11")]
     pub seq: u64,
+    /// Whether the loads are left out and those of the connection's last full heartbeat hold on.
+    #[prost(bool, tag = "12")]
+    pub same_loads: bool,
 }
 
 /// The answer to a heartbeat, which proves that the connection is live.
@@ -104,6 +107,7 @@
             digest_at: beat.digest.map_or(0, |digest| digest.at),
             digest: beat.digest.map_or(0, |digest| digest.hash),
             seq: 0,
+            same_loads: false,
         }
     }
 }
--- a/tests/modules_peers.rs
+++ b/tests/modules_peers.rs
@@ -165,3 +165,31 @@
     rig.engine.tell(Event::Tick).await;
     assert_eq!(Some(true), rig.engine.ask(ready).await);
 }
+
+#[tokio::test]
+async fn a_heartbeat_without_loads_keeps_those_of_the_last_full_one() {
+    let rig = rig().await;
+    let mut link = dial(&rig).await;
+    let loads = vec![wire::Load {
+        runner: "runner-1".into(),
+        flight: 3,
+    }];
+    for (seq, same_loads) in [(1, false), (2, true)] {
+        let beat = wire::Heartbeat {
+            from: "vm-2/entry".into(),
+            boot: 1,
+            seq,
+            same_loads,
+            loads: if same_loads {
+                Vec::new()
+            } else {
+                loads.clone()
+            },
+            ..wire::Heartbeat::default()
+        };
+        link.send(Bytes::from(beat.encode_to_vec())).await.unwrap();
+        link.next().await.unwrap().unwrap();
+    }
+    let look = |state: &State, _| state.peers.all["vm-2/entry"].beat.loads[0].flight;
+    assert_eq!(Some(3), rig.engine.ask(look).await);
+}
