fix(log): decide nothing after a control record of a newer schema

Cause: a VM passed over a control record whose schema it did not know as if it were garbled, and went on: during an upgrade the old and the new VMs would have come to different ledgers at the same offset.

Change: such a record stops the ledger, as a newer configuration schema does: the VM is not ready, tells its peers that it leaves, and rules nothing more.

Measured: the new test submits a job whose record comes after such a record; before, the job stood in the ledger, since there was no such event; now no job stands and a further submission is refused as not ready.

--- a/src/modules/tail.rs
+++ b/src/modules/tail.rs
@@ -10,6 +10,7 @@
 use crate::records::Batch;
 use crate::records::CONTROL_SCHEMA;
 use crate::reducer::Event;
+use serde::Deserialize;
 use std::time::Duration;
 use std::time::Instant;
 use tokio::sync::watch;
@@ -47,6 +48,12 @@
     }
 }
 
+/// What every schema of the control stream has.
+#[derive(Debug, Deserialize)]
+struct Head {
+    schema: u32,
+}
+
 struct Follower {
     log: Arc<dyn Log>,
     engine: Engine,
@@ -117,13 +124,14 @@
     }
 
     async fn pass_on(&self, offset: Offset, data: &str) {
-        let batch = serde_json::from_str::<Batch>(data);
-        let event = match batch {
-            Ok(batch) if batch.schema <= CONTROL_SCHEMA => {
+        let head = serde_json::from_str::<Head>(data);
+        let event = match serde_json::from_str::<Batch>(data) {
+            _ if head.is_ok_and(|head| head.schema > CONTROL_SCHEMA) => Event::Newer { offset },
+            Ok(batch) => {
                 self.wait_for_config(batch.cfg).await;
                 Event::Control { offset, batch }
             }
-            _ => Event::Garbled { offset },
+            Err(_) => Event::Garbled { offset },
         };
         let own_seq = match &event {
             Event::Control { batch, .. }
--- a/src/modules/timings.rs
+++ b/src/modules/timings.rs
@@ -69,6 +69,7 @@
         Event::Restore { .. } => "restore",
         Event::Config { .. } => "config",
         Event::Control { .. } => "control",
+        Event::Newer { .. } => "newer",
         Event::Garbled { .. } => "garbled",
         Event::Log { .. } => "log",
         Event::Arrive(_) => "arrive",
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -128,6 +128,11 @@
         /// Its content.
         batch: Batch,
     },
+    /// A control record has a schema that is newer than this version knows.
+    Newer {
+        /// Its offset.
+        offset: Offset,
+    },
     /// A control record could not be decoded; every VM passes over it alike.
     Garbled {
         /// Its offset.
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -95,6 +95,12 @@
         Event::Restore { ledger } => restore(state, now, *ledger),
         Event::Config { offset, data } => stage(state, offset, data),
         Event::Control { offset, batch } => control(ctx, state, now, offset, &batch, &mut effects),
+        Event::Newer { offset } => {
+            state.ledger.catalog.too_new.get_or_insert(offset);
+            let id = offset.to_string().into();
+            let note = Note::new(&events::CONFIG_TOO_NEW, &id, state.ledger.catalog.next);
+            effects.push(Effect::Note(note.with("stream", "control")));
+        }
         Event::Garbled { offset } => {
             state.ledger.skip(offset);
             let id = offset.to_string().into();
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -162,6 +162,17 @@
     assert_eq!(expected, refusal.detail);
 }
 
+#[test]
+fn a_newer_schema_of_the_control_stream_stops_all_decisions() {
+    let mut vm = Vm::ready();
+    let appended = entries(&vm.submit("r1", 1));
+    vm.tell(Event::Newer { offset: 1 });
+    assert!(replies(&vm.read_back(appended)).is_empty());
+    assert!(vm.state.ledger.gangs.all.is_empty());
+    let effects = vm.submit("r2", 1);
+    assert_eq!((Code::NotReady, Ran::No), code(&replies(&effects)[0].1));
+}
+
 #[test]
 fn a_submission_while_the_log_is_down_is_refused_at_once() {
     let mut vm = Vm::ready();
