--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,9 +1,11 @@
 //! Measures the decisions and their cost by replays with a virtual clock.
 
+pub mod faults;
 pub mod measures;
 pub mod policies;
 pub mod replay;
 pub mod report;
+pub mod requests;
 pub mod scale;
 pub mod trace;
 pub mod workers;
@@ -78,5 +80,8 @@
 
 /// Returns all parts, whose outcomes the report puts together.
 pub fn parts() -> Vec<Box<dyn Part>> {
-    vec![Box::new(replay::GangPart)]
+    vec![
+        Box::new(replay::GangPart),
+        Box::new(requests::Requests::default()),
+    ]
 }
--- a/src/configs/log.rs
+++ b/src/configs/log.rs
@@ -24,6 +24,8 @@
     pub retry_ms: u64,
     /// The control records between two checkpoints.
     pub checkpoint_every: u64,
+    /// The longest time between two checkpoints while records come.
+    pub checkpoint_ms: u64,
 }
 
 impl Default for LogConfig {
@@ -33,10 +35,11 @@
             call_ms: 2_000,
             poll_ms: 1_000,
             page: 512,
-            group_ms: 10,
+            group_ms: 25,
             group_entries: 256,
             retry_ms: 200,
             checkpoint_every: 2_000,
+            checkpoint_ms: 600_000,
         }
     }
 }
--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -126,12 +126,15 @@
     "callers.listen" "" Listen, false, "The address for callers.";
     "callers.body_bytes" "bytes" Number(1_024, 67_108_864), false, "The largest request body.";
     "callers.open_calls" "calls" Number(1, 100_000), false, "The most calls in progress at once.";
+    "callers.notice_ms" "ms" Number(0, MINUTE_MS), false, "The time for which a leaving VM still accepts, so that the balancer notices first.";
     "callers.drain_ms" "ms" Number(0, HOUR_MS), false, "The longest time that a planned stop waits for requests in progress.";
     "gangs.plan_ms" "ms" Number(1, MINUTE_MS), false, "The time between two rounds of planning.";
     "gangs.age_ms" "ms" Number(1_000, DAY_MS), false, "The wait after which a queued gang gains a priority.";
     "gangs.rank_ms" "ms" Number(1, MINUTE_MS), false, "The delay before the next VM in line proposes in place of a silent one.";
     "gangs.batch" "gangs" Number(1, 1_024), false, "The most gangs that one round places.";
-    "keeper.sync_ms" "ms" Number(10, MINUTE_MS), false, "The time between two syncs of a worker that nothing changes for.";
+    "keeper.sync_ms" "ms" Number(10, MINUTE_MS), false, "The time between two syncs of a worker whose tasks all run.";
+    "keeper.busy_ms" "ms" Number(10, MINUTE_MS), false, "The time between two syncs of a worker that prepares or stops a task.";
+    "keeper.idle_ms" "ms" Number(10, MINUTE_MS), false, "The time between two syncs of a worker without tasks.";
     "keeper.call_ms" "ms" Number(10, MINUTE_MS), false, "The time in which a worker must answer a sync.";
     "keeper.lease_ms" "ms" Number(100, HOUR_MS), false, "The lease of a task; a worker stops a task whose lease lapsed.";
     "keeper.lost_ms" "ms" Number(50, HOUR_MS), false, "The silence after which a worker counts as lost.";
@@ -145,6 +148,7 @@
     "log.group_entries" "entries" Number(1, 1_024), false, "The most entries of one append.";
     "log.retry_ms" "ms" Number(1, MINUTE_MS), false, "The wait before an uncertain append is settled.";
     "log.checkpoint_every" "records" Number(1, 1_000_000), false, "The control records between two checkpoints.";
+    "log.checkpoint_ms" "ms" Number(100, HOUR_MS), false, "The longest time between two checkpoints while records come.";
     "ops.entry_listen" "" Listen, false, "The operators' address of the entry process.";
     "ops.placer_listen" "" Listen, false, "The operators' address of the placer process.";
     "ops.level" "" Level, false, "The least serious log level.";
@@ -163,4 +167,5 @@
     "requests.cool_most" "ms" Number(1, HOUR_MS), false, "The longest cooldown of an upstream.";
     "requests.claim_ms" "ms" Number(10, MINUTE_MS), false, "The longest wait for a claim to be read back.";
     "requests.try_ms" "ms" Number(10, HOUR_MS), false, "The longest time of one try.";
+    "requests.liveness_ms" "ms" Number(10, HOUR_MS), false, "The silence after which a connection to an upstream is doubted.";
 }
