fix(keeper): sync a worker at least twice before it can count as lost

With lost_ms at 2,000 a worker without tasks, synced each 2,000 ms, was lost and up again in turn: the process test of frozen workers logs 'worker-5 Lost silent for 2000 ms', 'Up it answers' every few seconds. Now no pause between syncs is longer than half of lost_ms. Ruled out: a shorter idle_ms by default, which a deployment can undo.

--- a/src/reducer/keeper/mod.rs
+++ b/src/reducer/keeper/mod.rs
@@ -33,6 +33,9 @@
 /// The time between two ticks that counts as a pause of this process, in milliseconds.
 const PAUSE_MS: u64 = 1_000;
 
+/// The syncs that a worker must leave unanswered, at least, before it counts as lost.
+const SYNCS_BEFORE_LOST: u64 = 2;
+
 /// Everything that the keeper looks at.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
@@ -245,9 +248,10 @@
     if gangs.any(|gang| gang.phase != Phase::Running) {
         return config.busy_ms;
     }
+    let longest_ms = config.lost_ms / SYNCS_BEFORE_LOST;
     match host.jobs.is_empty() {
-        true => config.idle_ms,
-        false => config.sync_ms,
+        true => config.idle_ms.min(longest_ms),
+        false => config.sync_ms.min(longest_ms),
     }
 }
 
