test(process): start a VM with other addresses if one was taken before it bound it

In the second of two repeated runs of the four files one of 15 tests failed: 'cannot start: Address already in use' for one entry process, as other processes of the machine bind ports between the probe and the bind.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -38,6 +38,9 @@
 /// The size from which a fleet has room for VMs that replace others.
 const SPARE_FROM: usize = 7;
 
+/// The tries to start one VM.
+const STARTS: u32 = 4;
+
 /// The fleets that run at once; each is many processes.
 static ROOM: Semaphore = Semaphore::const_new(3);
 
@@ -111,11 +114,8 @@
     pub(crate) fn add_vm(&mut self) -> usize {
         let number = self.vms.len();
         let settings = self.settings(number);
-        let vm = Vm::start(settings, self.log_dir());
-        vm.members()
-            .into_iter()
-            .for_each(|one| self.platform.vms.join(one));
-        self.vms.push(vm);
+        self.vms.push(Vm::start(settings, self.log_dir()));
+        self.list(number);
         number
     }
 
@@ -149,21 +149,53 @@
     }
 
     /// Waits until both processes of a VM are ready with all that was published in force.
-    pub(crate) async fn wait_ready(&self, vm: usize) {
+    ///
+    /// A process whose address was taken meanwhile gets another try with others.
+    pub(crate) async fn wait_ready(&mut self, vm: usize) {
+        for _ in 0..STARTS {
+            if self.came_up(vm).await {
+                return;
+            }
+            let taken = self.vms[vm].address_taken();
+            assert!(taken, "VM {vm} ended by itself");
+            let settings = self.settings(vm);
+            self.vms[vm] = Vm::start(settings, self.log_dir());
+            self.list(vm);
+        }
+        panic!("VM {vm} does not start");
+    }
+
+    /// Waits until a VM is ready; returns whether it is, and not ended.
+    async fn came_up(&mut self, vm: usize) -> bool {
         let published = self.log().records("config");
         let next = published.last().map_or(0, |record| record.offset + 1);
-        let ops = &self.vms[vm].settings.ops;
-        for addr in [&ops.entry_listen, &ops.placer_listen] {
-            let url = format!("http://{addr}/ready");
-            until("a VM is ready", async || {
-                let Ok(answer) = self.client.get(&url).await else {
-                    return false;
-                };
-                let ready: Value = answer.json().unwrap_or_default();
-                answer.status == 200 && ready["cfg"].as_u64() >= Some(next)
-            })
-            .await;
+        let ops = self.vms[vm].settings.ops.clone();
+        let start = Instant::now();
+        while start.elapsed() < WAIT {
+            if self.vms[vm].has_ended() {
+                return false;
+            }
+            let entry = self.in_force(&ops.entry_listen).await;
+            let placer = self.in_force(&ops.placer_listen).await;
+            if entry.min(placer) >= Some(next) {
+                return true;
+            }
+            tokio::time::sleep(LOOK).await;
         }
+        panic!("waited too long: VM {vm} is ready");
+    }
+
+    /// Returns the configuration offset that a ready process has in force.
+    async fn in_force(&self, ops: &str) -> Option<u64> {
+        let answer = self.client.get(&format!("http://{ops}/ready")).await.ok()?;
+        let ready: Value = answer.json().ok()?;
+        (answer.status == 200).then(|| ready["cfg"].as_u64())?
+    }
+
+    /// Puts a VM on the platform's list.
+    fn list(&self, vm: usize) {
+        let members = self.vms[vm].members().into_iter();
+        members.for_each(|one| self.platform.vms.join(one));
     }
 
     /// Sends a request to a VM, and says what its caller was told.
--- a/tests/support/vm.rs
+++ b/tests/support/vm.rs
@@ -117,10 +117,22 @@
         self.entry.ended(limit).await && self.placer.ended(limit).await
     }
 
+    /// Tells whether a process of the VM has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let mut both = [&mut self.entry, &mut self.placer].into_iter();
+        both.any(|one| one.child.try_wait().unwrap().is_some())
+    }
+
+    /// Tells whether a process ended as its address was taken.
+    pub(crate) fn address_taken(&self) -> bool {
+        let mut both = [&self.entry, &self.placer].into_iter();
+        both.any(|one| one.read_log().contains("Address already in use"))
+    }
+
     /// Prints the end of both logs.
     pub(crate) fn print_logs(&self) {
         for program in [&self.entry, &self.placer] {
-            let text = std::fs::read_to_string(&program.log).unwrap_or_default();
+            let text = program.read_log();
             let lines: Vec<&str> = text.lines().collect();
             let from = lines.len().saturating_sub(LINES);
             eprintln!(
@@ -150,6 +162,10 @@
         Self { child, log }
     }
 
+    fn read_log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// Kills the process, as kill -9 does.
     pub(crate) fn kill(&mut self) {
         drop(self.child.kill());
