--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -6,6 +6,7 @@
 pub mod replay;
 pub mod report;
 pub mod requests;
+pub mod scale;
 pub mod trace;
 pub mod workers;
 
--- a/src/bench/requests/details.rs
+++ b/src/bench/requests/details.rs
@@ -1,5 +1,8 @@
 //! What the policy report leaves out: refusals, spread over runners, and retries in an outage.
 
+use super::AT_CAPACITY;
+use super::TWICE;
+use super::completions;
 use super::count;
 use super::doubled;
 use super::replay::Fate;
@@ -17,6 +20,7 @@
 use crate::bench::report::quantiles;
 use crate::reducer::effect::Ran;
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// The ages of the peers' hints that are compared, in milliseconds.
 const HINTS_MS: [u64; 3] = [0, 1_000, 5_000];
@@ -65,6 +69,8 @@
     pub tries_pct: u64,
     /// The useful work in percent of all slots' time.
     pub useful_pct: u64,
+    /// The completion times of the answered requests, by kind.
+    pub completion_ms: BTreeMap<String, Quantiles>,
     /// The busiest runner's requests in thousandths of the mean.
     pub peak: Option<Quantiles>,
 }
@@ -81,6 +87,8 @@
         for hint_ms in HINTS_MS {
             add("steady", &STEADY, real, hint_ms);
         }
+        add("capacity", &AT_CAPACITY, real, 0);
+        add("twice", &TWICE, real, 0);
         add("outage", &OUTAGE, real, 0);
         add("usual", &USUAL, real, 0);
     }
@@ -105,6 +113,10 @@
         busy: seen.busy,
         tries_pct: tries * 100 / (trace.jobs.len() as u64).max(1),
         useful_pct: useful_ms(trace, seen) * 100 / slots_ms.max(1),
+        completion_ms: completions(trace, seen)
+            .iter()
+            .filter_map(|one| Some((one.kind.to_string(), quantiles(&one.samples_ms)?)))
+            .collect(),
         peak: quantiles(&seen.peaks),
     }
 }
--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -126,6 +126,7 @@
     "callers.listen" "" Listen, false, "The address for callers.";
     "callers.body_bytes" "bytes" Number(1_024, 67_108_864), false, "The largest request body.";
     "callers.open_calls" "calls" Number(1, 100_000), false, "The most calls in progress at once.";
+    "callers.notice_ms" "ms" Number(0, MINUTE_MS), false, "The time for which a leaving VM still accepts, so that the balancer notices first.";
     "callers.drain_ms" "ms" Number(0, HOUR_MS), false, "The longest time that a planned stop waits for requests in progress.";
     "gangs.plan_ms" "ms" Number(1, MINUTE_MS), false, "The time between two rounds of planning.";
     "gangs.age_ms" "ms" Number(1_000, DAY_MS), false, "The wait after which a queued gang gains a priority.";
@@ -160,7 +161,7 @@
     "requests.queue" "requests" Number(1, 100_000), false, "The most requests that wait, for each kind.";
     "requests.fleet" "VMs" Number(1, 1_000), false, "The VMs among which a runner's slots and connections are shared.";
     "requests.spare" "VMs" Number(0, 1_000), false, "The VMs beyond `requests.fleet` that a replacement may add.";
-    "requests.patient_pct" "percent" Number(0, 100), false, "The share of free slots that goes to patient work first.";
+    "requests.patient_pct" "percent" Number(0, 100), false, "The share of the runners' time that each less pressing priority gets while it waits.";
     "requests.retry_pct" "percent" Number(0, 100), false, "Retries allowed in percent of first tries.";
     "requests.cool_ms" "ms" Number(1, HOUR_MS), false, "The first cooldown of a failing upstream; it doubles with each.";
     "requests.cool_most" "ms" Number(1, HOUR_MS), false, "The longest cooldown of an upstream.";
--- a/src/modules/timings.rs
+++ b/src/modules/timings.rs
@@ -69,6 +69,7 @@
         Event::Restore { .. } => "restore",
         Event::Config { .. } => "config",
         Event::Control { .. } => "control",
+        Event::Newer { .. } => "newer",
         Event::Garbled { .. } => "garbled",
         Event::Log { .. } => "log",
         Event::Arrive(_) => "arrive",
@@ -79,6 +80,7 @@
         Event::Members { .. } => "members",
         Event::Peer(_) => "peer",
         Event::Synced { .. } => "synced",
+        Event::Leave => "leave",
         Event::Drain => "drain",
         Event::Woke => "woke",
     }
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -128,6 +128,11 @@
         /// Its content.
         batch: Batch,
     },
+    /// A control record has a schema that is newer than this version knows.
+    Newer {
+        /// Its offset.
+        offset: Offset,
+    },
     /// A control record could not be decoded; every VM passes over it alike.
     Garbled {
         /// Its offset.
@@ -184,7 +189,9 @@
         /// Its answer, or nothing if it gave none.
         answer: Option<SyncAnswer>,
     },
-    /// A planned stop began.
+    /// A planned stop began: this VM leaves rotation, and still accepts.
+    Leave,
+    /// This VM accepts nothing more.
     Drain,
     /// What the process knows may be out of date: it was paused, or it lags behind the log.
     Woke,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -35,8 +35,14 @@
 /// The time between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(25);
 
+/// The size from which a fleet has room for VMs that replace others.
+const SPARE_FROM: usize = 7;
+
+/// The tries to start one VM.
+const STARTS: u32 = 4;
+
 /// The fleets that run at once; each is many processes.
-static ROOM: Semaphore = Semaphore::const_new(2);
+static ROOM: Semaphore = Semaphore::const_new(3);
 
 /// A fleet of VMs with its platform.
 pub(crate) struct Fleet {
@@ -45,6 +51,7 @@
     pub(crate) client: Client,
     net: Net,
     dir: TempDir,
+    size: usize,
     change: fn(&mut Settings),
     _room: SemaphorePermit<'static>,
 }
@@ -90,6 +97,7 @@
             client: Client::new(Duration::from_secs(30)),
             net: Net::next(),
             dir: TempDir::new().unwrap(),
+            size: vms,
             change,
             _room: room,
         };
@@ -106,11 +114,8 @@
     pub(crate) fn add_vm(&mut self) -> usize {
         let number = self.vms.len();
         let settings = self.settings(number);
-        let vm = Vm::start(settings, self.log_dir());
-        vm.members()
-            .into_iter()
-            .for_each(|one| self.platform.vms.join(one));
-        self.vms.push(vm);
+        self.vms.push(Vm::start(settings, self.log_dir()));
+        self.list(number);
         number
     }
 
@@ -130,6 +135,10 @@
         settings.centre = self.platform.deployment.centre(number as u32);
         settings.log.addr = self.platform.log.addr().to_string().into();
         settings.peers.vms_addr = self.platform.vms.addr().to_string().into();
+        settings.requests.fleet = self.size as u64;
+        if self.size < SPARE_FROM {
+            settings.requests.spare = 0;
+        }
         (self.change)(&mut settings);
         settings
     }
@@ -140,21 +149,53 @@
     }
 
     /// Waits until both processes of a VM are ready with all that was published in force.
-    pub(crate) async fn wait_ready(&self, vm: usize) {
+    ///
+    /// A process whose address was taken meanwhile gets another try with others.
+    pub(crate) async fn wait_ready(&mut self, vm: usize) {
+        for _ in 0..STARTS {
+            if self.came_up(vm).await {
+                return;
+            }
+            let taken = self.vms[vm].address_taken();
+            assert!(taken, "VM {vm} ended by itself");
+            let settings = self.settings(vm);
+            self.vms[vm] = Vm::start(settings, self.log_dir());
+            self.list(vm);
+        }
+        panic!("VM {vm} does not start");
+    }
+
+    /// Waits until a VM is ready; returns whether it is, and not ended.
+    async fn came_up(&mut self, vm: usize) -> bool {
         let published = self.log().records("config");
         let next = published.last().map_or(0, |record| record.offset + 1);
-        let ops = &self.vms[vm].settings.ops;
-        for addr in [&ops.entry_listen, &ops.placer_listen] {
-            let url = format!("http://{addr}/ready");
-            until("a VM is ready", async || {
-                let Ok(answer) = self.client.get(&url).await else {
-                    return false;
-                };
-                let ready: Value = answer.json().unwrap_or_default();
-                answer.status == 200 && ready["cfg"].as_u64() >= Some(next)
-            })
-            .await;
+        let ops = self.vms[vm].settings.ops.clone();
+        let start = Instant::now();
+        while start.elapsed() < WAIT {
+            if self.vms[vm].has_ended() {
+                return false;
+            }
+            let entry = self.in_force(&ops.entry_listen).await;
+            let placer = self.in_force(&ops.placer_listen).await;
+            if entry.min(placer) >= Some(next) {
+                return true;
+            }
+            tokio::time::sleep(LOOK).await;
         }
+        panic!("waited too long: VM {vm} is ready");
+    }
+
+    /// Returns the configuration offset that a ready process has in force.
+    async fn in_force(&self, ops: &str) -> Option<u64> {
+        let answer = self.client.get(&format!("http://{ops}/ready")).await.ok()?;
+        let ready: Value = answer.json().ok()?;
+        (answer.status == 200).then(|| ready["cfg"].as_u64())?
+    }
+
+    /// Puts a VM on the platform's list.
+    fn list(&self, vm: usize) {
+        let members = self.vms[vm].members().into_iter();
+        members.for_each(|one| self.platform.vms.join(one));
     }
 
     /// Sends a request to a VM, and says what its caller was told.
--- a/tests/support/vm.rs
+++ b/tests/support/vm.rs
@@ -37,13 +37,16 @@
         vm: format!("vm-{}", number + 1).into(),
         ..Settings::default()
     };
-    settings.callers.listen = free_addr(ip);
-    settings.ops.entry_listen = free_addr(ip);
-    settings.ops.placer_listen = free_addr(ip);
-    settings.peers.entry_listen = free_addr(ip);
-    settings.peers.placer_listen = free_addr(ip);
+    let [callers, entry_ops, placer_ops, entry_peers, placer_peers] = free_addrs(ip);
+    settings.callers.listen = callers;
+    settings.ops.entry_listen = entry_ops;
+    settings.ops.placer_listen = placer_ops;
+    settings.peers.entry_listen = entry_peers;
+    settings.peers.placer_listen = placer_peers;
     settings.peers.vms_ms = 200;
     settings.keeper.sync_ms = 250;
+    settings.keeper.idle_ms = 500;
+    settings.keeper.call_ms = 500;
     settings.keeper.lease_ms = 3_000;
     settings.keeper.lost_ms = 2_000;
     settings.keeper.lapse_ms = 6_500;
@@ -52,9 +55,11 @@
     settings
 }
 
-fn free_addr(ip: Ipv4Addr) -> Name {
-    let probe = TcpListener::bind((ip, 0)).unwrap();
-    probe.local_addr().unwrap().to_string().into()
+/// Returns free addresses; all are bound at once, so that none is given twice.
+fn free_addrs(ip: Ipv4Addr) -> [Name; 5] {
+    let probes = [0; 5].map(|port| TcpListener::bind((ip, port)).unwrap());
+    let addrs = probes.each_ref().map(|probe| probe.local_addr().unwrap());
+    addrs.map(|addr| addr.to_string().into())
 }
 
 impl Vm {
@@ -112,10 +117,22 @@
         self.entry.ended(limit).await && self.placer.ended(limit).await
     }
 
+    /// Tells whether a process of the VM has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let mut both = [&mut self.entry, &mut self.placer].into_iter();
+        both.any(|one| one.child.try_wait().unwrap().is_some())
+    }
+
+    /// Tells whether a process ended as its address was taken.
+    pub(crate) fn address_taken(&self) -> bool {
+        let mut both = [&self.entry, &self.placer].into_iter();
+        both.any(|one| one.read_log().contains("Address already in use"))
+    }
+
     /// Prints the end of both logs.
     pub(crate) fn print_logs(&self) {
         for program in [&self.entry, &self.placer] {
-            let text = std::fs::read_to_string(&program.log).unwrap_or_default();
+            let text = program.read_log();
             let lines: Vec<&str> = text.lines().collect();
             let from = lines.len().saturating_sub(LINES);
             eprintln!(
@@ -145,6 +162,10 @@
         Self { child, log }
     }
 
+    fn read_log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// Kills the process, as kill -9 does.
     pub(crate) fn kill(&mut self) {
         drop(self.child.kill());
