test(process): answer what must not run twice though open connections go silent

Every connection to every runner goes silent for good while new ones work, and 18 keyed submissions at three VMs must still be answered and run once.

--- a/tests/process_requests.rs
+++ b/tests/process_requests.rs
@@ -220,3 +220,21 @@
     asked(&fleet, own, "left", 60).await;
     assert_eq!(runs, own.counts().runs);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_must_not_run_twice_is_answered_though_open_connections_go_silent() {
+    let fleet = Fleet::start(3).await;
+    let mut told = send_both(&fleet, "warm", 60).await;
+    for runner in &fleet.platform.runners {
+        runner.server().silence_open();
+    }
+    let calls = (0..18).map(|i| {
+        let call = submission(&format!("silent-{i}")).within(12_000);
+        fleet.request(i % 3, call)
+    });
+    let silent = join_all(calls).await;
+    let open: Vec<&Told> = silent.iter().filter(|one| !one.answered()).collect();
+    assert_eq!(Vec::<&Told>::new(), open);
+    told.extend(silent);
+    assert_true(&fleet, &told);
+}
