fix(start): be ready only once a configuration is in force

Cause: a process counted as caught up when it had read the control stream to its end, even if it had not read the configuration, or had read some of which none was in force; its callers were then told unknown_workspace where not_ready was true.

Change: the end of the log counts only once the configuration stream was read to its end, and a process with configuration of which none is in force is not ready; it may still append the batch that puts it in force.

Measured: the new test fails without the change (ready with nothing in force).

--- a/src/modules/tail.rs
+++ b/src/modules/tail.rs
@@ -30,6 +30,8 @@
     pub control: Offset,
     /// The highest sequence number of this process's own batches that was read back.
     pub own_seq: u64,
+    /// Whether the configuration stream was read up to its end once.
+    pub config_read: bool,
     /// Whether records that were still needed are gone.
     pub passed: bool,
 }
@@ -89,6 +91,7 @@
             let Some(page) = self.read(CONFIG_STREAM, next).await else {
                 continue;
             };
+            let end = page.next;
             for record in page.records {
                 next = record.offset + 1;
                 let event = Event::Config {
@@ -100,6 +103,10 @@
                 }
                 self.position.send_modify(|position| position.config = next);
             }
+            if next >= end {
+                self.position
+                    .send_modify(|position| position.config_read = true);
+            }
         }
     }
 
@@ -117,7 +124,8 @@
                 self.pass_on(record.offset, &record.data).await;
             }
             let fresh = asked.elapsed() <= self.patience();
-            if next >= end && fresh && !self.engine.tell(Event::Log { up: true }).await {
+            let known = self.position.borrow().config_read;
+            if next >= end && fresh && known && !self.engine.tell(Event::Log { up: true }).await {
                 return;
             }
         }
--- a/src/reducer/step.rs
+++ b/src/reducer/step.rs
@@ -76,9 +76,17 @@
 
 impl State {
     /// Tells whether this process may accept and decide.
+    ///
+    /// It must be current, and some configuration must be in force if there is any.
     pub fn ready(&self) -> bool {
-        let current = self.caught_up && self.woke_ms.is_none() && !self.behind;
-        current && self.ledger.catalog.too_new.is_none()
+        let in_force = self.ledger.catalog.next > 0 || self.staged.next == 0;
+        self.current() && in_force
+    }
+
+    /// Tells whether this process has read the log, and is neither behind nor too old.
+    fn current(&self) -> bool {
+        let fresh = self.caught_up && self.woke_ms.is_none() && !self.behind;
+        fresh && self.ledger.catalog.too_new.is_none()
     }
 
     /// Returns how many calls and requests are in progress.
@@ -362,7 +370,7 @@
 
 /// Appends an empty batch if a configuration that was read is not in force for a while.
 fn touch(ctx: &Context, state: &mut State, now: Now, effects: &mut Vec<Effect>) {
-    if !state.ready() || state.staged.next <= state.ledger.catalog.next {
+    if !state.current() || state.staged.next <= state.ledger.catalog.next {
         state.touched_ms = None;
         return;
     }
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -162,6 +162,26 @@
     assert_eq!(expected, refusal.detail);
 }
 
+#[test]
+fn a_vm_whose_first_configuration_is_not_in_force_is_not_ready() {
+    let mut vm = Vm::ready();
+    vm.state = State::default();
+    let data = br#"{"schema":2,"change":"a","object":"pool/p","replaces":0,"body":{}}"#.to_vec();
+    vm.tell(Event::Config { offset: 0, data });
+    vm.tell(Event::Log { up: true });
+    assert!(!vm.state.ready());
+    vm.tell(Event::Tick);
+    let later = Now {
+        mono_ms: NOW.mono_ms + 2_000,
+        ..NOW
+    };
+    let effects = step(&vm.ctx, &mut vm.state, later, Event::Tick);
+    let touched = effects.contains(&Effect::Touch);
+    vm.read_back(Vec::new());
+    assert!(vm.state.ready());
+    assert!(touched, "nobody puts it in force");
+}
+
 #[test]
 fn a_newer_schema_of_the_control_stream_stops_all_decisions() {
     let mut vm = Vm::ready();
--- a/tests/modules_peers.rs
+++ b/tests/modules_peers.rs
@@ -27,6 +27,9 @@
 use trefoilgauge::platform::Member;
 use trefoilgauge::platform::Role;
 use trefoilgauge::prelude::*;
+use trefoilgauge::records::Batch;
+use trefoilgauge::records::BatchId;
+use trefoilgauge::records::CONTROL_SCHEMA;
 use trefoilgauge::reducer::Event;
 use trefoilgauge::reducer::State;
 
@@ -162,6 +165,18 @@
         let data = b"{}".to_vec();
         rig.engine.tell(Event::Config { offset, data }).await;
     }
+    let batch = Batch {
+        schema: CONTROL_SCHEMA,
+        id: BatchId {
+            writer: "vm-2/entry".into(),
+            boot: 1,
+            seq: 1,
+        },
+        at_ms: 1,
+        cfg: 3,
+        entries: Vec::new(),
+    };
+    rig.engine.tell(Event::Control { offset: 0, batch }).await;
     rig.engine.tell(Event::Tick).await;
     assert_eq!(Some(true), rig.engine.ask(ready).await);
 }
