fix(claims): free the key of a request that an upstream refused as too many

Cause: a 429 of an upstream settled the claim as unknown, so that one busy runner kept an entry submission from ever being run, though 429 says that it was refused before it ran.

Ruled out: the same for 503, which says nothing of the kind and stays unknown.

--- a/src/reducer/requests/sending.rs
+++ b/src/reducer/requests/sending.rs
@@ -305,10 +305,12 @@
             self.fail(view, req, effects);
             return;
         }
-        let outcome = match busy {
+        let outcome = match status {
+            // The upstream refused it before it ran, so its key may be claimed again.
+            429 => Outcome::NotRun,
             // A busy upstream gives no answer that is worth keeping.
-            true => Outcome::Unknown,
-            false => Outcome::Done(kept),
+            _ if busy => Outcome::Unknown,
+            _ => Outcome::Done(kept),
         };
         let reply = Reply::Upstream {
             attempt: found.attempt,
