fix(bench): show a kind's gangs beside its requests

Cause: relief_scan and annual_ledger are both requests and gangs; the report kept the last part's figures and so hid those of the gangs, which miss a target.

Change: gangs stand under the kind's name with _gang.

--- a/src/bench/measures.rs
+++ b/src/bench/measures.rs
@@ -154,6 +154,7 @@
         for (kind, samples_ms) in &self.completions {
             outcome.completions.push(Completion {
                 kind: kind.clone(),
+                gang: true,
                 samples_ms: samples_ms.clone(),
             });
         }
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -43,6 +43,8 @@
 pub struct Completion {
     /// The kind.
     pub kind: Name,
+    /// Whether it was done by gangs.
+    pub gang: bool,
     /// One time for each completed piece of work, in milliseconds.
     pub samples_ms: Vec<u64>,
 }
--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -1,6 +1,5 @@
 //! The report of `trefoil-bench policy`.
 
-use super::Completion;
 use super::Deployment;
 use super::Outcome;
 use super::POLICIES;
@@ -23,7 +22,7 @@
 pub struct PolicyRow {
     /// The policy.
     pub name: Policy,
-    /// The completion times by kind.
+    /// The completion times by kind; those of gangs under the kind's name with `_gang`.
     pub completion_ms: BTreeMap<String, Quantiles>,
     /// The time-weighted share of free accelerators that cannot serve the largest shape.
     pub fragmentation: Option<f64>,
@@ -104,10 +103,16 @@
 }
 
 fn completions(outcomes: &[Outcome]) -> BTreeMap<String, Quantiles> {
-    let all = outcomes.iter().flat_map(|outcome| &outcome.completions);
-    let found = |one: &Completion| {
-        let quantiles = quantiles(&one.samples_ms)?;
-        Some((one.kind.to_string(), quantiles))
-    };
-    all.filter_map(found).collect()
+    let mut all = BTreeMap::new();
+    for one in outcomes.iter().flat_map(|outcome| &outcome.completions) {
+        let Some(found) = quantiles(&one.samples_ms) else {
+            continue;
+        };
+        let kind = match one.gang {
+            true => format!("{}_gang", one.kind),
+            false => one.kind.to_string(),
+        };
+        all.insert(kind, found);
+    }
+    all
 }
--- a/src/bench/requests.rs
+++ b/src/bench/requests.rs
@@ -83,6 +83,7 @@
         .kinds
         .iter()
         .map(|spec| Completion {
+            gang: false,
             kind: spec.name.into(),
             samples_ms: Vec::new(),
         })
