--- a/src/configs/check.rs
+++ b/src/configs/check.rs
@@ -170,6 +170,12 @@
             "keeper.lost_ms",
             keeper.lost_ms,
         ),
+        below(
+            "/keeper/idle_ms",
+            keeper.idle_ms,
+            "keeper.lost_ms",
+            keeper.lost_ms,
+        ),
         below(
             "/keeper/lost_ms",
             keeper.lost_ms,
--- a/src/configs/options.rs
+++ b/src/configs/options.rs
@@ -159,7 +159,7 @@
     "peers.beat_ms" "ms" Number(10, MINUTE_MS), false, "The time between two heartbeats.";
     "peers.silent_ms" "ms" Number(20, HOUR_MS), false, "The silence after which a peer counts as gone.";
     "requests.queue" "requests" Number(1, 100_000), false, "The most requests that wait, for each kind.";
-    "requests.fleet" "VMs" Number(1, 1_000), false, "The VMs among which a runner's slots and connections are shared.";
+    "requests.fleet" "VMs" Number(1, 1_000), false, "The VMs among which a runner's slots and connections are shared; with `requests.spare` also what a quorum is more than half of.";
     "requests.spare" "VMs" Number(0, 1_000), false, "The VMs beyond `requests.fleet` that a replacement may add.";
     "requests.patient_pct" "percent" Number(0, 100), false, "The share of the runners' time that each less pressing priority gets while it waits.";
     "requests.retry_pct" "percent" Number(0, 100), false, "Retries allowed in percent of first tries.";
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -63,7 +63,8 @@
     let text = r#"{
   "vm": "vm-1", "centre": "coast-1",
   "callers": { "listen": "0.0.0.0:7100" },
-  "keeper": { "lease_ms": 30000, "lost_ms": 30000, "sync_ms": 30000, "call_ms": 30000 },
+  "keeper": { "lease_ms": 30000, "lost_ms": 30000, "sync_ms": 30000, "call_ms": 30000,
+    "idle_ms": 30000 },
   "peers": { "beat_ms": 1500 },
   "requests": { "cool_ms": 30001 }
 }"#;
@@ -75,8 +76,9 @@
     vm.jsonc:4:52 /keeper/sync_ms: must be below keeper.lease_ms (30000)
     vm.jsonc:4:52 /keeper/sync_ms: must be below keeper.lost_ms (30000)
     vm.jsonc:4:70 /keeper/call_ms: must be below keeper.lease_ms (30000)
-    vm.jsonc:5:14 /peers/beat_ms: must be below peers.silent_ms (1500)
-    vm.jsonc:6:17 /requests/cool_ms: must be at most requests.cool_most (30000)
+    vm.jsonc:5:5 /keeper/idle_ms: must be below keeper.lost_ms (30000)
+    vm.jsonc:6:14 /peers/beat_ms: must be below peers.silent_ms (1500)
+    vm.jsonc:7:17 /requests/cool_ms: must be at most requests.cool_most (30000)
     ");
 }
 
