revert(claims): settle a request that an upstream refused as too many as unknown again

The request reached the upstream, and nothing but a convention of ours says that a 429 means it did not run; a promise that no non-idempotent request runs twice cannot rest on that. A caller who got the 429 whole may send the work again under a new key.

--- a/src/reducer/requests/sending.rs
+++ b/src/reducer/requests/sending.rs
@@ -305,12 +305,10 @@
             self.fail(view, req, effects);
             return;
         }
-        let outcome = match status {
-            // The upstream refused it before it ran, so its key may be claimed again.
-            429 => Outcome::NotRun,
+        let outcome = match busy {
             // A busy upstream gives no answer that is worth keeping.
-            _ if busy => Outcome::Unknown,
-            _ => Outcome::Done(kept),
+            true => Outcome::Unknown,
+            false => Outcome::Done(kept),
         };
         let reply = Reply::Upstream {
             attempt: found.attempt,
