revert(gang): let stoppable work pass reservations again

What was suspected as the cause of the missed target is not it: work that can be stopped fills a reserved domain at no loss of the ledgers' time.

--- a/src/reducer/plan/round.rs
+++ b/src/reducer/plan/round.rs
@@ -281,7 +281,7 @@
     /// Returns when a gang that cannot be stopped for a reservation would end at the latest.
     fn late_ms(&self, gang: &Gang, firm: bool) -> Option<u64> {
         if !firm {
-            return Some(self.round.now_ms + queue::left_ms(self.round.ledger, gang));
+            return None;
         }
         let bound_ms = self.round.ledger.gangs.learned.bound_ms(&gang.job);
         let bound_ms = bound_ms.unwrap_or(gang.job.run_ms.saturating_mul(10));
