--- a/src/modules/dispatch.rs
+++ b/src/modules/dispatch.rs
@@ -225,7 +225,7 @@
 }
 
 fn build(dispatch: &Dispatch, payload: &Payload) -> Result<Request<Full<Bytes>>, String> {
-    let mut request = Request::post(format!("/v1/work/{}", payload.kind))
+    let mut request = Request::post(format!("/v1/run/{}", payload.kind))
         .header("host", &*dispatch.addr)
         .header(ID_HEADER, &*dispatch.req)
         .header("x-workspace", &*payload.workspace)
--- a/standins/src/runner/mod.rs
+++ b/standins/src/runner/mod.rs
@@ -163,7 +163,7 @@
             pause: Pause::default(),
         };
         let router = Router::new()
-            .route("/v1/work/{kind}", post(work))
+            .route("/v1/run/{kind}", post(work))
             .route("/health", get(health))
             .layer(DefaultBodyLimit::max(BODY_MAX_BYTES))
             .with_state(runner.clone());
--- a/standins/tests/runner.rs
+++ b/standins/tests/runner.rs
@@ -32,7 +32,7 @@
 }
 
 async fn work(client: &Client, runner: &RunnerHandle, id: &str) -> io::Result<Answer> {
-    let url = format!("http://{}/v1/work/quick_check", runner.addr());
+    let url = format!("http://{}/v1/run/quick_check", runner.addr());
     let headers = [("x-request-id", id), ("idempotency-key", "key-1")];
     client.post(&url, &headers, id.to_owned()).await
 }
