fix(requests): give no try up early by a service time that was not observed

Cause: a try without an answer was given up as silent after eight times the usual service time, which is the configured one until answers come, and only answers taught it. A kind that takes more than eight times what was declared (the users say that up to ten is common) would have been given up at every try, on healthy runners, and nothing would ever have been learned.

Ruled out: a larger factor (it only moves the limit), and none at all (a silent connection would hold every try to its deadline).

Change: until eight answers came the usual time is the time left, so that no try is given up early; and a try that had no answer raises the usual time to half of what it took.

While a kind has fewer than eight answers on a VM, a silent connection holds a try that may run again to its deadline.

--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -126,7 +126,7 @@
     pub addr: Name,
     /// The time left for the try, in milliseconds.
     pub left_ms: u64,
-    /// The usual service time of its kind, in milliseconds.
+    /// The usual service time of its kind, in milliseconds; the time left while it is not known.
     pub usual_ms: u64,
     /// Whether the connection must be proven live first, as for non-idempotent work.
     pub proven: bool,
--- a/src/reducer/requests/queue.rs
+++ b/src/reducer/requests/queue.rs
@@ -15,6 +15,8 @@
 const WHOLE: u64 = 8;
 /// The samples from which the observed service time is trusted to refuse by.
 const TRUSTED: u64 = 8;
+/// The part of the time of a try without an answer that the service time is taken to be at least.
+const OUTLAST_SHARE: u64 = 2;
 /// The credit that a dispatch out of turn costs, for each millisecond of its service time.
 const TURN_PRICE: u64 = 100;
 /// The most dispatches that a priority saves up credit for.
@@ -197,6 +199,13 @@
         queue.samples += 1;
     }
 
+    /// Takes in a try that had no answer after `took_ms`: the service time may be as long.
+    pub(super) fn outlasted(&mut self, kind: &Kind, took_ms: u64) {
+        let queue = self.open(kind);
+        let least_us = took_ms * 1_000 / OUTLAST_SHARE;
+        queue.service_us = queue.service_us.max(least_us);
+    }
+
     /// Returns the pools for which something waits.
     pub(super) fn pools(&self) -> BTreeSet<Name> {
         let busy = self
--- a/src/reducer/requests/sending.rs
+++ b/src/reducer/requests/sending.rs
@@ -122,10 +122,12 @@
             runner: runner.name.clone(),
             addr: runner.addr.clone(),
             left_ms,
+            // A configured service time may be far off, so no try is given up early by that one.
             usual_ms: self
                 .queues
                 .get(&found.kind.name)
-                .map_or(found.kind.service_ms, |queue| queue.service_ms()),
+                .filter(|queue| queue.is_trusted())
+                .map_or(left_ms, |queue| queue.service_ms()),
             proven: !found.kind.idempotent,
             connections: (u64::from(pool.connections) / vms.max(1)).max(1) as u32,
         };
@@ -265,7 +267,12 @@
                 Mark::Good { took_ms, usual_ms }
             }
             TryEnd::NotSent { .. } if found.gone => Mark::Neutral,
-            TryEnd::NotSent { .. } | TryEnd::Broken { .. } => Mark::Broken,
+            TryEnd::NotSent { .. } => Mark::Broken,
+            TryEnd::Broken { .. } => {
+                let took_ms = view.now.mono_ms.saturating_sub(sent.at_ms);
+                self.queues.outlasted(&found.kind, took_ms);
+                Mark::Broken
+            }
             TryEnd::Leaving => Mark::Leaving,
         }
     }
--- a/tests/requests_policy.rs
+++ b/tests/requests_policy.rs
@@ -347,3 +347,28 @@
         assert_eq!(6, world.vms[vm].tries[0].dispatch.connections);
     }
 }
+
+#[test]
+fn no_try_is_given_up_early_by_a_service_time_that_was_only_configured() {
+    let mut world = World::start(1, 1, 8);
+    world.arrive(0, "scan", None, 0);
+    let dispatch = &world.vms[0].tries[0].dispatch;
+    assert_eq!(dispatch.left_ms, dispatch.usual_ms);
+}
+
+#[test]
+fn a_try_that_was_given_up_raises_the_usual_service_time() {
+    let mut world = World::start(1, 1, 8);
+    let usual_ms = |world: &World| world.vms[0].tries[0].dispatch.usual_ms;
+    for _ in 0..32 {
+        let req = world.arrive(0, "scan", None, 0);
+        world.advance(100);
+        world.end(0, 0, answered(&req, 200), true);
+    }
+    world.arrive(0, "scan", None, 0);
+    assert_eq!(100, usual_ms(&world));
+    world.advance(4_000);
+    world.end(0, 0, broken(), true);
+    world.advance(2_000);
+    assert_eq!(2_000, usual_ms(&world));
+}
