refactor(reducer): make a refusal in one place

Cause: requests, calls about jobs and the HTTP answers each built a refusal from its code, and the calls about jobs had a type of their own for it. Change: Refusal::new; the type No is gone. Behaviour is as before.

--- a/src/modules/callers/answers.rs
+++ b/src/modules/callers/answers.rs
@@ -96,13 +96,7 @@
 }
 
 pub(super) fn refusal(status: u16, code: Code, ran: Ran, retry_ms: Option<u64>) -> Response {
-    let refused = Refusal {
-        status,
-        code,
-        ran,
-        retry_ms,
-        detail: code.to_string(),
-    };
+    let refused = Refusal::new(status, code, ran, retry_ms);
     problem(&refused, "")
 }
 
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -85,6 +85,19 @@
     pub detail: String,
 }
 
+impl Refusal {
+    /// Makes a refusal whose detail is that of its code.
+    pub fn new(status: u16, code: Code, ran: Ran, retry_ms: Option<u64>) -> Self {
+        Self {
+            status,
+            code,
+            ran,
+            retry_ms,
+            detail: code.to_string(),
+        }
+    }
+}
+
 /// The final answer to a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
--- a/src/reducer/jobs.rs
+++ b/src/reducer/jobs.rs
@@ -52,26 +52,6 @@
     pub log_up: bool,
 }
 
-/// A refusal before its call is known.
-#[derive(Debug)]
-struct No {
-    status: u16,
-    code: Code,
-    retry_ms: Option<u64>,
-    detail: String,
-}
-
-impl No {
-    fn new(status: u16, code: Code, retry_ms: Option<u64>) -> Self {
-        Self {
-            status,
-            code,
-            retry_ms,
-            detail: code.to_string(),
-        }
-    }
-}
-
 /// All calls about gangs in progress.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Jobs {
@@ -99,13 +79,13 @@
                     job: job.id,
                     offset: gang.offset,
                 },
-                false => refused(No::new(409, Code::JobTaken, None), Ran::No),
+                false => Reply::Refused(refuse(409, Code::JobTaken, None)),
             };
             answer(view, &req, reply, effects);
             return;
         }
-        if let Some(no) = refuse_submit(view, &job) {
-            answer(view, &req, refused(no, Ran::No), effects);
+        if let Some(refused) = refuse_submit(view, &job) {
+            answer(view, &req, Reply::Refused(refused), effects);
             return;
         }
         self.wait(view, req, Ask::Submit(job.clone()));
@@ -121,8 +101,8 @@
         job: Name,
         effects: &mut Vec<Effect>,
     ) {
-        if let Some(no) = refuse_cancel(view, workspace, &job) {
-            answer(view, &req, refused(no, Ran::No), effects);
+        if let Some(refused) = refuse_cancel(view, workspace, &job) {
+            answer(view, &req, Reply::Refused(refused), effects);
             return;
         }
         self.wait(view, req, Ask::Cancel(job.clone()));
@@ -162,8 +142,8 @@
             .collect();
         for req in late {
             self.calls.remove(&req);
-            let no = No::new(503, Code::LogDown, Some(SOON_MS));
-            answer(view, &req, refused(no, Ran::Unknown), effects);
+            let late = Refusal::new(503, Code::LogDown, Ran::Unknown, Some(SOON_MS));
+            answer(view, &req, Reply::Refused(late), effects);
         }
     }
 
@@ -173,36 +153,36 @@
     }
 }
 
-fn refuse_submit(view: &View<'_>, job: &Job) -> Option<No> {
+fn refuse_submit(view: &View<'_>, job: &Job) -> Option<Refusal> {
     if view.draining {
-        return Some(No::new(503, Code::Draining, Some(0)));
+        return Some(refuse(503, Code::Draining, Some(0)));
     }
     if !view.ready {
-        return Some(No::new(503, Code::NotReady, Some(SOON_MS)));
+        return Some(refuse(503, Code::NotReady, Some(SOON_MS)));
     }
     let catalog = &view.ledger.catalog;
     if catalog.workspace(&job.workspace).is_none() {
-        return Some(No::new(404, Code::UnknownWorkspace, None));
+        return Some(refuse(404, Code::UnknownWorkspace, None));
     }
     if catalog.allows(&job.workspace, &job.kind).is_err() {
-        return Some(No::new(404, Code::UnknownKind, None));
+        return Some(refuse(404, Code::UnknownKind, None));
     }
-    (!view.log_up).then(|| No::new(503, Code::LogDown, Some(SOON_MS)))
+    (!view.log_up).then(|| refuse(503, Code::LogDown, Some(SOON_MS)))
 }
 
-fn refuse_cancel(view: &View<'_>, workspace: &Name, job: &Name) -> Option<No> {
+fn refuse_cancel(view: &View<'_>, workspace: &Name, job: &Name) -> Option<Refusal> {
     let gang = view.ledger.gangs.all.get(job);
     let own = gang.filter(|gang| gang.job.workspace == *workspace);
     let Some(gang) = own else {
         return Some(match view.ready {
-            true => No::new(404, Code::UnknownJob, None),
-            false => No::new(503, Code::NotReady, Some(SOON_MS)),
+            true => refuse(404, Code::UnknownJob, None),
+            false => refuse(503, Code::NotReady, Some(SOON_MS)),
         });
     };
     if matches!(gang.phase, Phase::Ended(_)) {
-        return Some(No::new(409, Code::JobEnded, None));
+        return Some(refuse(409, Code::JobEnded, None));
     }
-    (!view.log_up).then(|| No::new(503, Code::LogDown, Some(SOON_MS)))
+    (!view.log_up).then(|| refuse(503, Code::LogDown, Some(SOON_MS)))
 }
 
 fn reply(view: &View<'_>, ask: &Ask, ruling: &Ruling) -> Reply {
@@ -212,11 +192,11 @@
         Ask::Cancel(job) => {
             return match ruling.verdict {
                 Ok(()) => Reply::JobCancelled { job: job.clone() },
-                Err(_) => refused(No::new(409, Code::JobEnded, None), Ran::No),
+                Err(_) => Reply::Refused(refuse(409, Code::JobEnded, None)),
             };
         }
     };
-    let no = match &ruling.verdict {
+    let refused = match &ruling.verdict {
         Ok(()) => {
             return Reply::JobAccepted {
                 job: job.id.clone(),
@@ -230,25 +210,20 @@
                     offset: gang.offset,
                 };
             }
-            _ => No::new(409, Code::JobTaken, None),
+            _ => refuse(409, Code::JobTaken, None),
         },
-        Err(Void::Full(_)) => No::new(503, Code::JobsFull, Some(FULL_MS)),
-        Err(void) => No {
+        Err(Void::Full(_)) => refuse(503, Code::JobsFull, Some(FULL_MS)),
+        Err(void) => Refusal {
             detail: void.to_string(),
-            ..No::new(409, Code::NeverRuns, None)
+            ..refuse(409, Code::NeverRuns, None)
         },
     };
-    refused(no, Ran::No)
+    Reply::Refused(refused)
 }
 
-fn refused(no: No, ran: Ran) -> Reply {
-    Reply::Refused(Refusal {
-        status: no.status,
-        code: no.code,
-        ran,
-        retry_ms: no.retry_ms,
-        detail: no.detail,
-    })
+/// Refuses a call whose record was not appended, or is void.
+fn refuse(status: u16, code: Code, retry_ms: Option<u64>) -> Refusal {
+    Refusal::new(status, code, Ran::No, retry_ms)
 }
 
 fn answer(view: &View<'_>, req: &Name, reply: Reply, effects: &mut Vec<Effect>) {
--- a/src/reducer/requests/reply.rs
+++ b/src/reducer/requests/reply.rs
@@ -14,13 +14,7 @@
 
 /// Makes a refusal with the code's own text.
 pub(super) fn refuse(status: u16, code: Code, ran: Ran, retry_ms: Option<u64>) -> Reply {
-    Reply::Refused(Refusal {
-        status,
-        code,
-        ran,
-        retry_ms,
-        detail: code.to_string(),
-    })
+    Reply::Refused(Refusal::new(status, code, ran, retry_ms))
 }
 
 /// Makes an event of a request, with what an auditor needs to find it.
