refactor(config): drop a check that nothing calls any more

Cause: catalog::check_allowed was left when the gangs took to Catalog::allows itself; nothing calls it. Change: it and its import are gone. Behaviour is as before.

--- a/src/reducer/ledger/catalog.rs
+++ b/src/reducer/ledger/catalog.rs
@@ -15,7 +15,6 @@
 use crate::model::Weights;
 use crate::model::Workspace;
 use crate::prelude::*;
-use crate::records::Verdict;
 use crate::records::Void;
 use crate::reducer::plan::guarantee;
 use serde::Deserialize;
@@ -291,15 +290,6 @@
     format!("{class}/{name}")
 }
 
-/// Checks that a claim or job names a kind that its workspace may submit.
-///
-/// # Errors
-///
-/// As [`Catalog::allows`].
-pub fn check_allowed(catalog: &Catalog, workspace: &str, kind: &str) -> Verdict {
-    catalog.allows(workspace, kind).map(|_| ())
-}
-
 fn put<T>(map: &mut BTreeMap<Name, Held<T>>, name: &Name, value: T, version: Offset) {
     map.insert(name.clone(), Held { version, value });
 }
