--- /dev/null
+++ b/src/fleet/callers.rs
@@ -0,0 +1,170 @@
+//! Answers callers: submissions, states, cancellations, what waits.
+
+use super::event::Ask;
+use super::event::Call;
+use super::event::Phase;
+use super::event::Reply;
+use super::model::Queue;
+use super::model::Spec;
+use super::model::Workspace;
+use super::scheduler::Scheduler;
+use super::task::Job;
+use crate::prelude::*;
+use std::collections::BTreeMap;
+
+/// `Retry-After` while no configuration is known, in milliseconds.
+const NO_CONFIG_WAIT_MS: u64 = 500;
+/// `Retry-After` for work that this version cannot place, in milliseconds.
+const CANNOT_WAIT_MS: u64 = 30_000;
+
+/// The queue of a call, the workspace of its key, and the rest of its path.
+type Routed = (Arc<Queue>, Option<Arc<Workspace>>, String);
+
+impl Scheduler {
+    /// Handles a call.
+    pub(super) fn called(&mut self, now: u64, call: u64, what: Call) {
+        let reply = match self.route(&what) {
+            Ok((queue, workspace, rest)) => self.answer(now, &queue, workspace, &rest, what.ask),
+            Err(reply) => reply,
+        };
+        self.reply(call, reply);
+    }
+
+    /// Finds the queue and the workspace of a call, or the refusal.
+    fn route(&self, what: &Call) -> Result<Routed, Reply> {
+        let Some(config) = &self.config else {
+            return Err(Reply::Unavailable {
+                wait_ms: NO_CONFIG_WAIT_MS,
+            });
+        };
+        let Some((queue, rest)) = config.route(&what.host, &what.path) else {
+            return Err(Reply::NoQueue);
+        };
+        let workspace = config.keys.get(&what.key).cloned();
+        if workspace.is_none() && !queue.public {
+            return Err(Reply::BadKey);
+        }
+        Ok((queue.clone(), workspace, rest.to_owned()))
+    }
+
+    fn answer(
+        &mut self,
+        now: u64,
+        queue: &Arc<Queue>,
+        workspace: Option<Arc<Workspace>>,
+        rest: &str,
+        ask: Ask,
+    ) -> Reply {
+        if rest.is_empty() {
+            return match ask {
+                Ask::State => Reply::Waiting(self.waiting(&queue.name)),
+                _ => Reply::Bad("the path names no job".to_owned()),
+            };
+        }
+        if !is_id(rest) {
+            return match ask {
+                Ask::Submit(_) | Ask::Garbled(_) => {
+                    Reply::Bad(format!("job {rest:?} is not 16 hexadecimal digits"))
+                }
+                Ask::State | Ask::Cancel => Reply::Gone,
+            };
+        }
+        let id = Name::from(rest);
+        match ask {
+            Ask::Garbled(why) => Reply::Bad(why),
+            Ask::Submit(spec) => {
+                let owner = workspace.map_or_else(|| Name::from(""), |found| found.name.clone());
+                self.submit(now, queue, owner, &id, spec)
+            }
+            Ask::State => match self.jobs.get(&id) {
+                Some(job) => Reply::State(job.phase()),
+                None => Reply::Gone,
+            },
+            Ask::Cancel => self.cancel(now, &id),
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: u64,
+        queue: &Arc<Queue>,
+        workspace: Name,
+        id: &Name,
+        spec: Arc<Spec>,
+    ) -> Reply {
+        if self.jobs.contains_key(id) {
+            return Reply::Accepted;
+        }
+        if let Some(why) = spec.fault() {
+            return Reply::Bad(why.to_owned());
+        }
+        if queue.advised {
+            return Reply::Refused {
+                wait_ms: CANNOT_WAIT_MS,
+                why: "the queue needs advice, which is not supported",
+            };
+        }
+        if let Some(refusal) = self.admit(now, queue, &workspace, &spec) {
+            log::info!(
+                "job={id} queue={} refused why={:?} wait_ms={}",
+                queue.name,
+                refusal.why,
+                refusal.wait_ms
+            );
+            return Reply::Refused {
+                wait_ms: refusal.wait_ms,
+                why: refusal.why,
+            };
+        }
+        let wall_ms = self.wall_ms(now);
+        log::info!(
+            "job={id} queue={} workspace={workspace} accepted config={}",
+            queue.name,
+            self.config.as_ref().map_or(0, |config| config.version)
+        );
+        let job = Job {
+            id: id.clone(),
+            queue: queue.name.clone(),
+            workspace,
+            text: spec.text.as_str().into(),
+            spec,
+            arrived: now,
+            wall_ms,
+            closed: None,
+            turns: BTreeMap::new(),
+            next_turn: 0,
+            begun: false,
+            stored: false,
+        };
+        self.jobs.insert(id.clone(), job);
+        self.begin_due(id, now, wall_ms);
+        Reply::Accepted
+    }
+
+    fn cancel(&mut self, now: u64, id: &Name) -> Reply {
+        let Some(job) = self.jobs.get(id) else {
+            return Reply::Gone;
+        };
+        match job.closed {
+            None => {
+                self.close(id, Phase::Cancelled, now);
+                Reply::Cancelled
+            }
+            Some(_) => Reply::Cancelled,
+        }
+    }
+
+    /// Counts the open jobs of a queue of which no task has started.
+    fn waiting(&self, queue: &str) -> u64 {
+        let waits = |id: &&Name| {
+            self.jobs
+                .get(*id)
+                .is_some_and(|job| &*job.queue == queue && !job.begun)
+        };
+        self.open.iter().filter(waits).count() as u64
+    }
+}
+
+fn is_id(text: &str) -> bool {
+    text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
--- /dev/null
+++ b/src/fleet/effect.rs
@@ -0,0 +1,78 @@
+//! What the scheduler wants done.
+
+use super::event::Reply;
+use super::model::RunId;
+use super::row::Row;
+use crate::prelude::*;
+
+/// One thing to carry out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Answer a caller.
+    Reply {
+        /// The call.
+        call: u64,
+        /// The reply.
+        reply: Reply,
+    },
+    /// Order an upstream to start a run.
+    Start {
+        /// The upstream.
+        at: Name,
+        /// Its address.
+        addr: Name,
+        /// The run.
+        run: RunId,
+        /// The text of the job.
+        text: Arc<str>,
+        /// The lease, on the upstream's clock, in milliseconds.
+        until_ms: u64,
+        /// What to resume from, empty for the beginning.
+        saved: String,
+    },
+    /// Order an upstream to stop a run.
+    Stop {
+        /// The upstream.
+        at: Name,
+        /// Its address.
+        addr: Name,
+        /// The run.
+        run: RunId,
+    },
+    /// Renew the lease of an upstream's runs and read what it holds.
+    Hold {
+        /// The upstream.
+        at: Name,
+        /// Its address.
+        addr: Name,
+        /// The lease, on the upstream's clock, in milliseconds; 0 to leave it.
+        until_ms: u64,
+        /// Ends up to this number are stored.
+        seen: u64,
+        /// How long the upstream may wait for an end, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Tell the scheduler, once all before is stored, that the ends are.
+    Noted {
+        /// The upstream.
+        at: Name,
+        /// The last end.
+        number: u64,
+    },
+    /// Give up the lead: a higher token is in use.
+    Resign {
+        /// The reason.
+        why: String,
+    },
+}
+
+/// What one step results in.
+#[derive(Debug, Default)]
+pub struct Output {
+    /// Rows to store, in order.
+    pub rows: Vec<Row>,
+    /// Effects to carry out after the rows are stored.
+    pub gated: Vec<Effect>,
+    /// Effects to carry out at once.
+    pub free: Vec<Effect>,
+}
--- /dev/null
+++ b/src/fleet/event.rs
@@ -0,0 +1,237 @@
+//! What the scheduler is told.
+
+use super::model::Config;
+use super::model::How;
+use super::model::Listing;
+use super::model::RunId;
+use super::model::Spec;
+use crate::prelude::*;
+
+/// A call of a caller, decoded.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Ask {
+    /// Submit a job.
+    Submit(Arc<Spec>),
+    /// Submit a body that cannot be read.
+    Garbled(String),
+    /// Tell a job's state.
+    State,
+    /// Cancel a job.
+    Cancel,
+}
+
+/// A call with what all calls carry.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// The host that the caller named.
+    pub host: String,
+    /// The path that the caller named.
+    pub path: String,
+    /// The caller's key, empty if none.
+    pub key: String,
+    /// What is asked.
+    pub ask: Ask,
+}
+
+/// The state of a job, as callers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// Every task is done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+}
+
+/// The response to a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// The job is accepted and stored.
+    Accepted,
+    /// Not accepted, and never run; come back after so many milliseconds.
+    Refused {
+        /// When to come back, in milliseconds.
+        wait_ms: u64,
+        /// The reason.
+        why: &'static str,
+    },
+    /// A job's state.
+    State(Phase),
+    /// The number of jobs of a queue that have not started.
+    Waiting(u64),
+    /// The job is cancelled.
+    Cancelled,
+    /// There is no such job.
+    Gone,
+    /// There is no such queue.
+    NoQueue,
+    /// The key is unknown.
+    BadKey,
+    /// The call cannot be read.
+    Bad(String),
+    /// Nobody can tell whether the call took effect.
+    Unknown,
+    /// No VM that could answer is reached; nothing took effect.
+    Unavailable {
+        /// When to come back, in milliseconds.
+        wait_ms: u64,
+    },
+}
+
+/// The response of an upstream to an order to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Started {
+    /// It runs.
+    Yes,
+    /// The upstream has seen a higher token.
+    Fenced,
+    /// The run is barred: it, or a later one, has ended or been stopped there.
+    Barred,
+    /// The lease had expired when the order came.
+    Late,
+    /// There is no room.
+    Full,
+    /// The upstream is unwell and did nothing.
+    Unwell,
+    /// Another process answers at the address.
+    OtherLife,
+    /// The order is malformed to the upstream.
+    Rejected,
+    /// There was no response; the order may yet take effect.
+    Silent,
+}
+
+/// The response of an upstream to an order to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stopped {
+    /// The run is barred there and ends, if it runs.
+    Yes,
+    /// The upstream has seen a higher token.
+    Fenced,
+    /// Another process answers at the address.
+    OtherLife,
+    /// There was no response.
+    Silent,
+}
+
+/// A run that an upstream has at work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AtWork {
+    /// The run.
+    pub run: RunId,
+    /// What it has saved last.
+    pub saved: String,
+    /// How far it is, in percent.
+    pub percent: u32,
+}
+
+/// A run that ended at an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// Counts the ends of one life of the upstream.
+    pub number: u64,
+    /// The run.
+    pub run: RunId,
+    /// How it ended.
+    pub how: How,
+    /// What it has saved last.
+    pub saved: String,
+}
+
+/// What an upstream holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// When its process started; 0 if it does not say.
+    pub born: u64,
+    /// What runs.
+    pub running: Vec<AtWork>,
+    /// What ended and is not yet acknowledged.
+    pub ended: Vec<Ended>,
+}
+
+/// The response of an upstream to a renewal of its lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Held {
+    /// What it holds.
+    Report(Report),
+    /// The upstream has seen a higher token.
+    Fenced,
+    /// Another process answers at the address.
+    OtherLife,
+    /// There was no response.
+    Silent,
+}
+
+/// An upstream's clock, as a response showed it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reading {
+    /// Its steady clock, in milliseconds.
+    pub clock_ms: u64,
+    /// The own time at which it was read, in milliseconds.
+    pub at: u64,
+}
+
+/// What the scheduler is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A caller calls; `call` names it in the response.
+    Called {
+        /// Names the call in the reply.
+        call: u64,
+        /// The call.
+        what: Call,
+    },
+    /// A version of the configuration was read.
+    Config(Arc<Config>),
+    /// Upstreams as discovery has them now.
+    Listed(Vec<Listing>),
+    /// Upstreams that discovery has no longer.
+    Unlisted(Vec<Name>),
+    /// An order to start was answered or given up.
+    Started {
+        /// The upstream.
+        at: Name,
+        /// The run.
+        run: RunId,
+        /// Its answer.
+        answer: Started,
+        /// Its clock.
+        clock: Option<Reading>,
+    },
+    /// An order to stop was answered or given up.
+    Stopped {
+        /// The upstream.
+        at: Name,
+        /// The run.
+        run: RunId,
+        /// Its answer.
+        answer: Stopped,
+        /// Its clock.
+        clock: Option<Reading>,
+    },
+    /// A renewal was answered or given up.
+    Held {
+        /// The upstream.
+        at: Name,
+        /// When it was sent, own time.
+        sent: u64,
+        /// Its answer.
+        answer: Held,
+        /// Its clock.
+        clock: Option<Reading>,
+    },
+    /// Ends up to `number` at an upstream are stored.
+    Noted {
+        /// The upstream.
+        at: Name,
+        /// The last end.
+        number: u64,
+    },
+    /// Time passes.
+    Tick,
+}
--- /dev/null
+++ b/src/fleet/host/engine.rs
@@ -0,0 +1,463 @@
+//! The leader's task: feeds the scheduler, stores what it decides, then carries it out.
+
+use super::super::Scheduler;
+use super::Parts;
+use crate::fleet::Effect;
+use crate::fleet::Event;
+use crate::fleet::clock::boot_ms;
+use crate::fleet::clock::wall_ms;
+use crate::fleet::event::Ask;
+use crate::fleet::event::Call;
+use crate::fleet::event::Reply;
+use crate::fleet::ports::Area;
+use crate::fleet::ports::Error;
+use crate::fleet::ports::HoldOrder;
+use crate::fleet::ports::StartOrder;
+use crate::fleet::ports::Store;
+use crate::fleet::ports::Target;
+use crate::fleet::ports::Terms;
+use crate::fleet::row::Row;
+use crate::prelude::*;
+use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// Events that may wait for the scheduler.
+const MAX_QUEUED: usize = 16_384;
+/// Events that are handled before the tasks are placed again.
+const MAX_BURST: usize = 256;
+/// The time between two looks at what is due, in milliseconds.
+const TICK_MS: u64 = 50;
+/// The time without an append after which the lead is confirmed by an empty one, in milliseconds.
+const PROVE_MS: u64 = 1_000;
+/// The age of the last confirmation up to which a VM says what does not exist, in milliseconds:
+/// the wait for a confirmation, and as much again for a slow store.
+const FRESH_MS: u64 = 2_500;
+/// The age of the last confirmation from which on no order is sent, in milliseconds: longer than
+/// the outages of the store that are to be borne without loss of work.
+pub(super) const ORDERS_MS: u64 = 12_000;
+/// The time that an append may take before new jobs are refused, in milliseconds.
+const STALLED_MS: u64 = 1_000;
+/// `Retry-After` while the store does not respond, in milliseconds.
+const STALLED_WAIT_MS: u64 = 700;
+/// The most bytes of one append: half of what the store takes.
+const APPEND_BYTES: usize = 1_000_000;
+/// What a row takes beside its key and value, in bytes.
+const ROW_EXTRA_BYTES: usize = 8;
+/// The wait before an append is sent again, in milliseconds.
+const AGAIN_MS: u64 = 30;
+
+/// What the engine is told.
+#[derive(Debug)]
+pub(super) enum Input {
+    /// An event for the scheduler.
+    Event(Event),
+    /// A call, and who waits for the reply.
+    Call(Call, oneshot::Sender<Reply>),
+    /// Store what is decided, and end.
+    Leave,
+}
+
+/// What other tasks see of the engine.
+#[derive(Debug, Default)]
+pub(super) struct Gauges {
+    /// When the lead was last confirmed by the store, own time.
+    pub(super) proven_at: AtomicU64,
+    /// When the configuration was last known to be the newest, own time.
+    pub(super) config_at: AtomicU64,
+    /// Whether a configuration is in force.
+    pub(super) ready: AtomicBool,
+}
+
+/// A handle of the running engine.
+#[derive(Debug, Clone)]
+pub(super) struct Engine {
+    tx: mpsc::Sender<Input>,
+    pub(super) gauges: Arc<Gauges>,
+}
+
+impl Engine {
+    /// Answers a call.
+    pub(super) async fn call(&self, what: Call) -> Reply {
+        let (tx, rx) = oneshot::channel();
+        if self.tx.send(Input::Call(what, tx)).await.is_err() {
+            return Reply::Unavailable {
+                wait_ms: super::LEADERLESS_WAIT_MS,
+            };
+        }
+        rx.await.unwrap_or(Reply::Unknown)
+    }
+
+    /// Tells the scheduler something.
+    pub(super) async fn tell(&self, event: Event) {
+        if self.tx.send(Input::Event(event)).await.is_err() {
+            log::debug!("an event came after the lead was given up");
+        }
+    }
+
+    /// Asks the engine to store what is decided, and end.
+    pub(super) async fn leave(&self) {
+        if self.tx.send(Input::Leave).await.is_err() {
+            log::debug!("the lead was given up before");
+        }
+    }
+
+    /// Tells whether a configuration is in force.
+    pub(super) fn is_ready(&self) -> bool {
+        self.gauges.ready.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether the store has confirmed the lead lately.
+    pub(super) fn is_proven(&self) -> bool {
+        age(&self.gauges.proven_at) < FRESH_MS
+    }
+}
+
+/// Tells how long ago an own time was.
+fn age(at: &AtomicU64) -> u64 {
+    boot_ms().saturating_sub(at.load(Ordering::Relaxed))
+}
+
+/// The engine before it runs.
+#[derive(Debug)]
+pub(super) struct Desk {
+    rx: mpsc::Receiver<Input>,
+    tx: mpsc::Sender<Input>,
+    gauges: Arc<Gauges>,
+    scheduler: Scheduler,
+    parts: Parts,
+    epoch: u64,
+    sequence: u64,
+    callers: HashMap<u64, oneshot::Sender<Reply>>,
+    last_call: u64,
+    rows: Vec<Row>,
+    gated: Vec<Effect>,
+    resigned: Option<String>,
+}
+
+/// An append under way.
+struct Append {
+    done: oneshot::Receiver<Result<u64, Error>>,
+    since: u64,
+    effects: Vec<Effect>,
+}
+
+/// Makes the engine of a leader that has written `sequence` appends of its epoch.
+pub(super) fn new(parts: Parts, scheduler: Scheduler, epoch: u64, sequence: u64) -> (Engine, Desk) {
+    let (tx, rx) = mpsc::channel(MAX_QUEUED);
+    let gauges = Arc::new(Gauges::default());
+    gauges.proven_at.store(boot_ms(), Ordering::Relaxed);
+    let engine = Engine {
+        tx: tx.clone(),
+        gauges: gauges.clone(),
+    };
+    let desk = Desk {
+        rx,
+        tx,
+        gauges,
+        scheduler,
+        parts,
+        epoch,
+        sequence,
+        callers: HashMap::new(),
+        last_call: 0,
+        rows: Vec::new(),
+        gated: Vec::new(),
+        resigned: None,
+    };
+    (engine, desk)
+}
+
+impl Desk {
+    /// Leads until another VM does, or until told to leave; returns why.
+    pub(super) async fn run(mut self) -> String {
+        let mut append: Option<Append> = None;
+        let mut tick = tokio::time::interval(Duration::from_millis(TICK_MS));
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut leaving = false;
+        loop {
+            tokio::select! {
+                input = self.rx.recv() => {
+                    let stalled = append.as_ref().is_some_and(|a| boot_ms() > a.since + STALLED_MS);
+                    let mut next = input;
+                    for _ in 0..MAX_BURST {
+                        match next {
+                            Some(Input::Leave) => leaving = true,
+                            Some(input) => self.take(input, stalled),
+                            None => break,
+                        }
+                        next = self.rx.try_recv().ok();
+                    }
+                    if let Some(input) = next {
+                        self.take(input, stalled);
+                    }
+                }
+                result = wait_for(&mut append) => {
+                    let Some(done) = append.take() else { continue };
+                    match result {
+                        Ok(sent) => {
+                            self.gauges.proven_at.fetch_max(sent, Ordering::Relaxed);
+                            for effect in done.effects {
+                                self.carry(effect);
+                            }
+                        }
+                        Err(error) => self.resigned = Some(error.to_string()),
+                    }
+                }
+                _ = tick.tick() => {}
+            }
+            let now = boot_ms();
+            let output = self.scheduler.finish(now, wall_ms());
+            self.gauges
+                .ready
+                .store(self.scheduler.is_ready(), Ordering::Relaxed);
+            for effect in output.free {
+                self.carry(effect);
+            }
+            self.rows.extend(output.rows);
+            self.gated.extend(output.gated);
+            if append.is_none() {
+                append = self.next_append(now);
+            }
+            if let Some(why) = self.resigned.take() {
+                return why;
+            }
+            if leaving && append.is_none() && self.rows.is_empty() {
+                return "told to leave".to_owned();
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input, stalled: bool) {
+        let now = boot_ms();
+        match input {
+            Input::Event(event) => self.scheduler.step(now, event),
+            Input::Leave => {}
+            Input::Call(what, tx) => {
+                if let Some(reply) = self.decline(&what, stalled) {
+                    if tx.send(reply).is_err() {
+                        log::debug!("a caller left before its reply");
+                    }
+                    return;
+                }
+                self.last_call += 1;
+                self.callers.insert(self.last_call, tx);
+                let call = self.last_call;
+                self.scheduler.step(now, Event::Called { call, what });
+            }
+        }
+    }
+
+    /// Declines a call that this VM cannot answer truthfully now.
+    fn decline(&self, what: &Call, stalled: bool) -> Option<Reply> {
+        let limit = self.parts.config_age_ms;
+        let old = limit > 0 && !what.key.is_empty() && age(&self.gauges.config_at) > limit;
+        let submits = matches!(what.ask, Ask::Submit(_));
+        (old || submits && stalled).then_some(Reply::Unavailable {
+            wait_ms: STALLED_WAIT_MS,
+        })
+    }
+
+    /// Sends what is to be stored, or confirms the lead; effects that wait for nothing go out.
+    fn next_append(&mut self, now: u64) -> Option<Append> {
+        let idle = self.rows.is_empty();
+        if idle {
+            for effect in std::mem::take(&mut self.gated) {
+                self.carry(effect);
+            }
+            if age(&self.gauges.proven_at) < PROVE_MS {
+                return None;
+            }
+        }
+        let rows = self.next_rows();
+        let effects = if self.rows.is_empty() {
+            std::mem::take(&mut self.gated)
+        } else {
+            Vec::new()
+        };
+        let (tx, done) = oneshot::channel();
+        let terms = Terms::Epoch {
+            epoch: self.epoch,
+            sequence: self.sequence,
+        };
+        if !idle {
+            self.sequence += 1;
+        }
+        let store = self.parts.store.clone();
+        tokio::spawn(async move {
+            let result = append(&*store, terms, &rows).await;
+            if tx.send(result).is_err() {
+                log::debug!("the lead was given up before an append was answered");
+            }
+        });
+        Some(Append {
+            done,
+            since: now,
+            effects,
+        })
+    }
+
+    /// Takes the rows of one append.
+    fn next_rows(&mut self) -> Vec<Row> {
+        let mut bytes = 0;
+        let fits = |row: &&Row| {
+            bytes += row.key.len() + row.value.len() + ROW_EXTRA_BYTES;
+            bytes <= APPEND_BYTES
+        };
+        let count = self.rows.iter().take_while(fits).count();
+        self.rows
+            .drain(..count.max(1).min(self.rows.len()))
+            .collect()
+    }
+
+    fn carry(&mut self, effect: Effect) {
+        let target = |id: &Name, addr: &Name| Target {
+            id: id.clone(),
+            addr: addr.clone(),
+            token: self.epoch,
+        };
+        let late = age(&self.gauges.proven_at) > ORDERS_MS;
+        if late && !matches!(effect, Effect::Reply { .. } | Effect::Noted { .. }) {
+            let silence = age(&self.gauges.proven_at);
+            self.resigned = Some(format!(
+                "the store has not confirmed the lead for {silence} ms"
+            ));
+            return;
+        }
+        let upstreams = self.parts.upstreams.clone();
+        let tx = self.tx.clone();
+        match effect {
+            Effect::Reply { call, reply } => self.answer(call, reply),
+            Effect::Noted { at, number } => {
+                self.scheduler.step(boot_ms(), Event::Noted { at, number });
+            }
+            Effect::Resign { why } => self.resigned = Some(why),
+            Effect::Start {
+                at,
+                addr,
+                run,
+                text,
+                until_ms,
+                saved,
+            } => {
+                let target = target(&at, &addr);
+                tokio::spawn(async move {
+                    let order = StartOrder {
+                        run: run.clone(),
+                        text,
+                        until_ms,
+                        saved,
+                    };
+                    let (answer, clock) = upstreams.start(target, order).await;
+                    let event = Event::Started {
+                        at,
+                        run,
+                        answer,
+                        clock,
+                    };
+                    send(&tx, event).await;
+                });
+            }
+            Effect::Stop { at, addr, run } => {
+                let target = target(&at, &addr);
+                tokio::spawn(async move {
+                    let (answer, clock) = upstreams.stop(target, run.clone()).await;
+                    let event = Event::Stopped {
+                        at,
+                        run,
+                        answer,
+                        clock,
+                    };
+                    send(&tx, event).await;
+                });
+            }
+            Effect::Hold {
+                at,
+                addr,
+                until_ms,
+                seen,
+                wait_ms,
+            } => {
+                let target = target(&at, &addr);
+                let sent = boot_ms();
+                tokio::spawn(async move {
+                    let order = HoldOrder {
+                        until_ms,
+                        seen,
+                        wait_ms,
+                    };
+                    let (answer, clock) = upstreams.hold(target, order).await;
+                    let event = Event::Held {
+                        at,
+                        sent,
+                        answer,
+                        clock,
+                    };
+                    send(&tx, event).await;
+                });
+            }
+        }
+    }
+
+    fn answer(&mut self, call: u64, reply: Reply) {
+        let Some(tx) = self.callers.remove(&call) else {
+            return;
+        };
+        let absent = matches!(reply, Reply::Gone | Reply::Waiting(_));
+        let reply = if absent && age(&self.gauges.proven_at) > FRESH_MS {
+            Reply::Unavailable {
+                wait_ms: STALLED_WAIT_MS,
+            }
+        } else {
+            reply
+        };
+        if tx.send(reply).is_err() {
+            log::debug!("a caller left before its reply");
+        }
+    }
+}
+
+async fn send(tx: &mpsc::Sender<Input>, event: Event) {
+    if tx.send(Input::Event(event)).await.is_err() {
+        log::debug!("an upstream answered after the lead was given up");
+    }
+}
+
+async fn wait_for(append: &mut Option<Append>) -> Result<u64, Error> {
+    match append {
+        Some(append) => match (&mut append.done).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::Silent("the append was dropped".to_owned())),
+        },
+        None => std::future::pending().await,
+    }
+}
+
+/// Appends until it is certain that it is done or never will be; returns the own time at which
+/// the answered attempt was sent.
+pub(super) async fn append(store: &dyn Store, terms: Terms, rows: &[Row]) -> Result<u64, Error> {
+    let mut warned = false;
+    loop {
+        let sent = boot_ms();
+        match store.append(Area::Jobs, terms, rows).await {
+            Ok(()) => {
+                if warned {
+                    log::info!("store answers again");
+                }
+                return Ok(sent);
+            }
+            Err(error @ (Error::Fenced | Error::Moved)) => return Err(error),
+            Err(error) => {
+                if !warned {
+                    warned = true;
+                    log::warn!("store append failed, retrying: {error}");
+                }
+                tokio::time::sleep(Duration::from_millis(AGAIN_MS)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/host/frame.rs
@@ -0,0 +1,185 @@
+//! The frames between VMs: length-delimited Protocol Buffers messages.
+
+use crate::fleet::event::Ask;
+use crate::fleet::event::Call;
+use crate::fleet::event::Phase;
+use crate::fleet::event::Reply;
+use crate::fleet::model::Spec;
+use crate::prelude::*;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// The largest frame, in bytes: the largest body of a caller, decoded.
+const FRAME_MAX_BYTES: usize = 2 * 1_048_576;
+
+/// Makes the codec of a connection.
+pub(super) fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_MAX_BYTES)
+        .new_codec()
+}
+
+/// One frame: a call, a reply, or a sign of life.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Frame {
+    /// Pairs a reply with its call.
+    #[prost(uint64, tag = "1")]
+    pub(super) id: u64,
+    /// A call.
+    #[prost(message, optional, tag = "2")]
+    pub(super) call: Option<CallFrame>,
+    /// A reply.
+    #[prost(message, optional, tag = "3")]
+    pub(super) reply: Option<ReplyFrame>,
+    /// The state of the VM that answers a sign of life.
+    #[prost(message, optional, tag = "4")]
+    pub(super) pulse: Option<Pulse>,
+}
+
+/// What a VM says of itself.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Pulse {
+    /// Whether it leads.
+    #[prost(bool, tag = "1")]
+    pub(super) leads: bool,
+    /// Whether it answers calls.
+    #[prost(bool, tag = "2")]
+    pub(super) ready: bool,
+    /// Whether the store has confirmed its lead lately.
+    #[prost(bool, tag = "3")]
+    pub(super) proven: bool,
+}
+
+/// A call of a caller.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct CallFrame {
+    /// 0 submit, 1 submit a body that cannot be read, 2 state, 3 cancel.
+    #[prost(uint32, tag = "1")]
+    pub(super) kind: u32,
+    /// The host that the caller named.
+    #[prost(string, tag = "2")]
+    pub(super) host: String,
+    /// The path that the caller named.
+    #[prost(string, tag = "3")]
+    pub(super) path: String,
+    /// The caller's key.
+    #[prost(string, tag = "4")]
+    pub(super) key: String,
+    /// The job.
+    #[prost(message, optional, tag = "5")]
+    pub(super) spec: Option<Spec>,
+    /// Why the body cannot be read.
+    #[prost(string, tag = "6")]
+    pub(super) fault: String,
+}
+
+/// A reply.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct ReplyFrame {
+    /// The kind of reply, in the order of [`Reply`].
+    #[prost(uint32, tag = "1")]
+    pub(super) kind: u32,
+    /// A wait, a state or a count.
+    #[prost(uint64, tag = "2")]
+    pub(super) figure: u64,
+    /// A reason.
+    #[prost(string, tag = "3")]
+    pub(super) text: String,
+}
+
+impl From<Call> for CallFrame {
+    fn from(call: Call) -> Self {
+        let (kind, spec, fault) = match call.ask {
+            Ask::Submit(spec) => (0, Some(Arc::unwrap_or_clone(spec)), String::new()),
+            Ask::Garbled(fault) => (1, None, fault),
+            Ask::State => (2, None, String::new()),
+            Ask::Cancel => (3, None, String::new()),
+        };
+        Self {
+            kind,
+            host: call.host,
+            path: call.path,
+            key: call.key,
+            spec,
+            fault,
+        }
+    }
+}
+
+impl From<CallFrame> for Call {
+    fn from(frame: CallFrame) -> Self {
+        let ask = match frame.kind {
+            0 => Ask::Submit(Arc::new(frame.spec.unwrap_or_default())),
+            1 => Ask::Garbled(frame.fault),
+            3 => Ask::Cancel,
+            _ => Ask::State,
+        };
+        Self {
+            host: frame.host,
+            path: frame.path,
+            key: frame.key,
+            ask,
+        }
+    }
+}
+
+impl From<Reply> for ReplyFrame {
+    fn from(reply: Reply) -> Self {
+        let (kind, figure, text) = match reply {
+            Reply::Accepted => (0, 0, String::new()),
+            Reply::Refused { wait_ms, why } => (1, wait_ms, why.to_owned()),
+            Reply::State(phase) => (2, phase_code(phase), String::new()),
+            Reply::Waiting(count) => (3, count, String::new()),
+            Reply::Cancelled => (4, 0, String::new()),
+            Reply::Gone => (5, 0, String::new()),
+            Reply::NoQueue => (6, 0, String::new()),
+            Reply::BadKey => (7, 0, String::new()),
+            Reply::Bad(text) => (8, 0, text),
+            Reply::Unknown => (9, 0, String::new()),
+            Reply::Unavailable { wait_ms } => (10, wait_ms, String::new()),
+        };
+        Self { kind, figure, text }
+    }
+}
+
+impl From<ReplyFrame> for Reply {
+    fn from(frame: ReplyFrame) -> Self {
+        match frame.kind {
+            0 => Self::Accepted,
+            1 => Self::Refused {
+                wait_ms: frame.figure,
+                why: "refused by the leader",
+            },
+            2 => Self::State(phase_of(frame.figure)),
+            3 => Self::Waiting(frame.figure),
+            4 => Self::Cancelled,
+            5 => Self::Gone,
+            6 => Self::NoQueue,
+            7 => Self::BadKey,
+            8 => Self::Bad(frame.text),
+            10 => Self::Unavailable {
+                wait_ms: frame.figure,
+            },
+            _ => Self::Unknown,
+        }
+    }
+}
+
+fn phase_code(phase: Phase) -> u64 {
+    match phase {
+        Phase::Queued => 0,
+        Phase::Running => 1,
+        Phase::Completed => 2,
+        Phase::Failed => 3,
+        Phase::Cancelled => 4,
+    }
+}
+
+fn phase_of(code: u64) -> Phase {
+    match code {
+        1 => Phase::Running,
+        2 => Phase::Completed,
+        3 => Phase::Failed,
+        4 => Phase::Cancelled,
+        _ => Phase::Queued,
+    }
+}
--- /dev/null
+++ b/src/fleet/host/watch.rs
@@ -0,0 +1,113 @@
+//! Follows the configuration and discovery while this VM leads.
+
+use super::engine::Engine;
+use crate::fleet::clock::boot_ms;
+use crate::fleet::event::Event;
+use crate::fleet::ports::Feed;
+use crate::fleet::ports::Sighting;
+use crate::fleet::ports::Store;
+use crate::prelude::*;
+use std::collections::HashSet;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// How long the store may wait for a configuration, in milliseconds: several times within the
+/// time in which one must be in force.
+const CONFIG_WAIT_MS: u64 = 500;
+/// The time between two looks at discovery, in milliseconds: a third of the time in which an
+/// upstream that leaves must get no more work.
+const LOOK_MS: u64 = 600;
+/// The wait after a failed read, in milliseconds.
+const AGAIN_MS: u64 = 200;
+
+/// Follows the configuration until the engine ends.
+pub(super) async fn configs(store: Arc<dyn Store>, engine: Engine) {
+    let mut from = None;
+    let mut lost = false;
+    loop {
+        let sent = boot_ms();
+        match store.configs(from, CONFIG_WAIT_MS).await {
+            Ok(feed) => {
+                if std::mem::take(&mut lost) {
+                    log::info!("configuration is followed again");
+                }
+                from = Some(feed.next);
+                for config in feed.items {
+                    engine.tell(Event::Config(config)).await;
+                }
+                engine.gauges.config_at.fetch_max(sent, Ordering::Relaxed);
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    log::warn!("configuration cannot be followed: {error}");
+                }
+                from = None;
+                tokio::time::sleep(Duration::from_millis(AGAIN_MS)).await;
+            }
+        }
+    }
+}
+
+/// Follows discovery until the engine ends.
+pub(super) async fn sightings(store: Arc<dyn Store>, engine: Engine) {
+    let mut from = None;
+    let mut known = HashSet::new();
+    let mut lost = false;
+    loop {
+        match store.sightings(from).await {
+            Ok(feed) => {
+                if std::mem::take(&mut lost) {
+                    log::info!("discovery is followed again");
+                }
+                from = Some(feed.next);
+                for event in events(feed, &mut known) {
+                    engine.tell(event).await;
+                }
+                tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    log::warn!("discovery cannot be followed: {error}");
+                }
+                from = None;
+                tokio::time::sleep(Duration::from_millis(AGAIN_MS)).await;
+            }
+        }
+    }
+}
+
+fn events(feed: Feed<Sighting>, known: &mut HashSet<Name>) -> Vec<Event> {
+    let mut listed = Vec::new();
+    let mut unlisted = Vec::new();
+    let mut here = HashSet::new();
+    for item in feed.items {
+        match item {
+            Sighting::Listed(listing) => {
+                here.insert(listing.id.clone());
+                known.insert(listing.id.clone());
+                unlisted.retain(|name| *name != listing.id);
+                listed.push(listing);
+            }
+            Sighting::Unlisted(name) => {
+                known.remove(&name);
+                listed.retain(|listing: &crate::fleet::model::Listing| listing.id != name);
+                unlisted.push(name);
+            }
+        }
+    }
+    if feed.whole {
+        let gone: Vec<Name> = known.difference(&here).cloned().collect();
+        for name in gone {
+            known.remove(&name);
+            unlisted.push(name);
+        }
+    }
+    let mut events = Vec::new();
+    if !listed.is_empty() {
+        events.push(Event::Listed(listed));
+    }
+    if !unlisted.is_empty() {
+        events.push(Event::Unlisted(unlisted));
+    }
+    events
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,32 @@
+//! Schedules jobs of steps on upstreams: one VM decides, every decision is stored before it acts.
+//!
+//! The state lives in rows of a fenced store. The VM that leads holds it in memory, writes each
+//! change ahead of the order that follows from it, and answers for all callers; the other VMs
+//! relay to it. [`Scheduler`] is a deterministic reducer: it takes an [`Event`] and a time, and
+//! returns rows to store and effects to carry out.
+
+mod admit;
+mod callers;
+pub mod clock;
+pub mod effect;
+pub mod event;
+pub mod host;
+pub mod journal;
+mod learn;
+pub mod model;
+mod place;
+mod plan;
+pub mod ports;
+pub mod row;
+mod runs;
+mod scheduler;
+pub mod settings;
+mod task;
+pub mod timing;
+mod upstream;
+mod victims;
+
+pub use effect::Effect;
+pub use effect::Output;
+pub use event::Event;
+pub use scheduler::Scheduler;
--- /dev/null
+++ b/src/fleet/place.rs
@@ -0,0 +1,161 @@
+//! Finds places for tasks: near their data, gangs on one rack, small tasks where little is left.
+
+use super::model::Need;
+use super::model::Step;
+use crate::prelude::*;
+
+/// An upstream as the planner sees it.
+#[derive(Debug, Clone)]
+pub(super) struct Spot {
+    /// Its identity.
+    pub(super) name: Name,
+    /// Its service.
+    pub(super) service: Name,
+    /// Its rack.
+    pub(super) rack: Name,
+    /// Its labels.
+    pub(super) labels: Vec<Name>,
+    /// What is free.
+    pub(super) free: Need,
+    /// What it has in all.
+    pub(super) room: Need,
+    /// Whether it takes new work.
+    pub(super) open: bool,
+}
+
+impl Spot {
+    /// Tells whether tasks of `step` may run here at all.
+    pub(super) fn allows(&self, service: &str, step: &Step) -> bool {
+        *self.service == *service
+            && (step.label.is_empty() || self.labels.iter().any(|label| **label == *step.label))
+    }
+
+    /// Counts how many tasks that need `need` fit into `room`, at most `most`.
+    fn count(room: &Need, need: &Need, most: u32) -> u32 {
+        let by = |have: u64, each: u64| have.checked_div(each).unwrap_or(u64::from(most));
+        let fits = by(room.cpu, need.cpu)
+            .min(by(room.memory, need.memory))
+            .min(by(room.accelerators, need.accelerators));
+        u32::try_from(fits).unwrap_or(most).min(most)
+    }
+}
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Wish<'a> {
+    /// The service of its queue.
+    pub(super) service: &'a str,
+    /// The step.
+    pub(super) step: &'a Step,
+    /// Whether upstreams away from the data, or on several racks, will do.
+    pub(super) far: bool,
+    /// Upstreams to avoid.
+    pub(super) shuns: &'a [Name],
+}
+
+impl Wish<'_> {
+    /// The most tasks of the step on one upstream.
+    pub(super) fn spread(&self) -> u32 {
+        match self.step.spread {
+            0 => u32::MAX,
+            most => most,
+        }
+    }
+
+    /// Tells whether the rack of `spot` will do.
+    pub(super) fn near(&self, spot: &Spot) -> bool {
+        self.far || self.step.data_rack.is_empty() || *spot.rack == *self.step.data_rack
+    }
+
+    fn takes(&self, spot: &Spot) -> bool {
+        spot.allows(self.service, self.step) && self.near(spot) && !self.shuns.contains(&spot.name)
+    }
+}
+
+/// Finds the place of a single task: the tightest one. `load` tells how many tasks of its step an
+/// upstream has already.
+pub(super) fn single(
+    spots: &[Spot],
+    wish: &Wish<'_>,
+    load: impl Fn(&Name) -> u32,
+) -> Option<usize> {
+    let need = wish.step.need();
+    spots
+        .iter()
+        .enumerate()
+        .filter(|(_, spot)| spot.open && need.fits(&spot.free) && wish.takes(spot))
+        .filter(|(_, spot)| wish.step.spread == 0 || load(&spot.name) < wish.step.spread)
+        .min_by_key(|(_, spot)| (spot.free.accelerators, spot.free.memory))
+        .map(|(index, _)| index)
+}
+
+/// Groups the spots that a gang may use together: by rack if it wants one, else all.
+pub(super) fn cells(spots: &[Spot], wish: &Wish<'_>) -> Vec<Vec<usize>> {
+    let usable = spots
+        .iter()
+        .enumerate()
+        .filter(|(_, spot)| wish.takes(spot));
+    if !wish.step.one_rack || wish.far {
+        return vec![usable.map(|(index, _)| index).collect()];
+    }
+    let mut racks = std::collections::BTreeMap::<&Name, Vec<usize>>::new();
+    for (index, spot) in usable {
+        racks.entry(&spot.rack).or_default().push(index);
+    }
+    racks.into_values().collect()
+}
+
+/// Fills `count` tasks into the spots of a cell, tightest first; `free` tells what is free.
+pub(super) fn fill(
+    cell: &[usize],
+    wish: &Wish<'_>,
+    count: u32,
+    free: impl Fn(usize) -> Option<Need>,
+) -> Option<Vec<usize>> {
+    let need = wish.step.need();
+    let mut rooms: Vec<(u64, usize, u32)> = cell
+        .iter()
+        .filter_map(|&index| {
+            let room = free(index)?;
+            let fits = Spot::count(&room, &need, wish.spread().min(count));
+            (fits > 0).then_some((room.accelerators, index, fits))
+        })
+        .collect();
+    rooms.sort_unstable();
+    let mut found = Vec::with_capacity(count as usize);
+    for (_, index, fits) in rooms {
+        let left = count as usize - found.len();
+        found.extend(std::iter::repeat_n(index, left.min(fits as usize)));
+        if found.len() == count as usize {
+            return Some(found);
+        }
+    }
+    None
+}
+
+/// Finds places for a whole gang: the cell in which the least is left over.
+pub(super) fn gang(spots: &[Spot], wish: &Wish<'_>, count: u32) -> Option<Vec<usize>> {
+    let free = |index: usize| {
+        let spot = spots.get(index)?;
+        spot.open.then_some(spot.free)
+    };
+    cells(spots, wish)
+        .iter()
+        .filter_map(|cell| {
+            let found = fill(cell, wish, count, free)?;
+            let open = cell.iter().filter_map(|&index| free(index));
+            let left: u64 = open.map(|room| room.accelerators).sum();
+            Some((left, found))
+        })
+        .min_by_key(|(left, _)| *left)
+        .map(|(_, found)| found)
+}
+
+/// Tells whether the step would fit near its data and on one rack if everything were free.
+pub(super) fn ever_near(spots: &[Spot], wish: &Wish<'_>, count: u32) -> bool {
+    let room = |index: usize| spots.get(index).map(|spot| spot.room);
+    let count = if wish.step.gang { count } else { 1 };
+    cells(spots, wish)
+        .iter()
+        .any(|cell| fill(cell, wish, count, room).is_some())
+}
--- /dev/null
+++ b/src/fleet/plan.rs
@@ -0,0 +1,555 @@
+//! Decides which waiting tasks start, in which order, and what is stopped for them.
+//!
+//! The load it answers: more accelerators are wanted than there are, in bursts of one kind. Urgent
+//! work goes first and may stop other work; then whatever can still be in time, by priority; then
+//! what is late.
+
+use super::model::Config;
+use super::model::Need;
+use super::model::Queue;
+use super::model::Step;
+use super::place;
+use super::place::Spot;
+use super::place::Wish;
+use super::scheduler::Scheduler;
+use super::scheduler::run_id;
+use super::task::Job;
+use super::task::Live;
+use super::task::Place;
+use super::task::Stage;
+use super::victims;
+use super::victims::Victim;
+use crate::prelude::*;
+use std::collections::HashMap;
+
+/// How long freed room is kept for the gang that it was freed for, beyond the stop, in
+/// milliseconds: the end of a stop is listed and stored within this.
+const KEEP_MS: u64 = 1_500;
+/// The share of the accelerators in use below which waiting work goes far from its data soon.
+const IDLE_SHARE: f64 = 0.5;
+/// The wait after which work goes far from its data while the service is idle, in milliseconds.
+const FAR_IDLE_MS: u64 = 1_000;
+/// Late work goes after all that can be in time; the offset of its rank.
+const LATE_RANK: u32 = 1_000;
+
+/// Tasks of one step that wait.
+#[derive(Debug)]
+struct Waiting {
+    rank: (u32, u64),
+    job: Name,
+    turn: u32,
+    step: u32,
+    /// Waiting tasks; all of them if it is a gang.
+    tasks: Vec<u32>,
+    queue: Arc<Queue>,
+    since: u64,
+    predicted: u64,
+}
+
+/// What the planner works on.
+struct Board {
+    spots: Vec<Spot>,
+    index: HashMap<Name, usize>,
+    /// What stops under way give back.
+    ending: HashMap<usize, Need>,
+    /// Work that may be stopped, made when it is first needed.
+    victims: Option<Vec<Victim>>,
+    busy_share: f64,
+}
+
+impl Scheduler {
+    /// Places what waits.
+    pub(super) fn plan(&mut self, now: u64) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let mut waiting = self.waiting_steps(now, &config);
+        if waiting.is_empty() {
+            return;
+        }
+        waiting.sort_by_key(|wait| wait.rank);
+        let mut board = self.board(now);
+        for wait in waiting {
+            self.place_step(now, &mut board, &wait);
+        }
+    }
+
+    fn waiting_steps(&mut self, now: u64, config: &Config) -> Vec<Waiting> {
+        let mut found = Vec::new();
+        let mut idle = Vec::new();
+        for id in &self.pending {
+            let Some(job) = self.jobs.get_mut(id) else {
+                idle.push(id.clone());
+                continue;
+            };
+            let Some(queue) = config.queue(&job.queue) else {
+                continue;
+            };
+            let before = found.len();
+            let chain = chain_ms(&self.durations, job);
+            let spec = job.spec.clone();
+            for (&turn_number, turn) in &mut job.turns {
+                let readies: Vec<bool> =
+                    spec.steps.iter().map(|step| turn.is_ready(step)).collect();
+                let objective = turn.due + objective_ms(queue, chain);
+                for (number, step) in (0..).zip(&spec.steps) {
+                    let at = number as usize;
+                    let stretch = &mut turn.steps[at];
+                    if stretch.left == 0 || !readies[at] {
+                        continue;
+                    }
+                    let since = *stretch.ready.get_or_insert(now);
+                    let tasks = waiting_tasks(step, &stretch.tasks);
+                    if tasks.is_empty() {
+                        continue;
+                    }
+                    let predicted = self.durations.predict(&job.queue, step);
+                    let late = now + predicted > objective;
+                    let rank = match (queue.priority, late) {
+                        (0, _) => 0,
+                        (priority, false) => priority,
+                        (priority, true) => LATE_RANK + priority,
+                    };
+                    found.push(Waiting {
+                        rank: (rank, objective),
+                        job: id.clone(),
+                        turn: turn_number,
+                        step: number,
+                        tasks,
+                        queue: queue.clone(),
+                        since,
+                        predicted,
+                    });
+                }
+            }
+            if found.len() == before {
+                idle.push(id.clone());
+            }
+        }
+        for id in idle {
+            self.pending.remove(&id);
+        }
+        found
+    }
+
+    fn board(&self, now: u64) -> Board {
+        let mut spots = Vec::with_capacity(self.upstreams.len());
+        let mut index = HashMap::with_capacity(self.upstreams.len());
+        let (mut used, mut room) = (0, 0);
+        for (name, upstream) in &self.upstreams {
+            if !upstream.listed {
+                continue;
+            }
+            index.insert(name.clone(), spots.len());
+            used += upstream.used.accelerators;
+            room += upstream.listing.room.accelerators;
+            spots.push(Spot {
+                name: name.clone(),
+                service: upstream.listing.service.clone(),
+                rack: upstream.rack.clone(),
+                labels: upstream.listing.labels.clone(),
+                free: upstream.free(),
+                room: upstream.listing.room,
+                open: upstream.is_open(now),
+            });
+        }
+        let mut ending = HashMap::<usize, Need>::new();
+        for (name, upstream) in &self.upstreams {
+            let Some(&at) = index.get(name) else { continue };
+            for (run, need) in &upstream.runs {
+                let task = self
+                    .jobs
+                    .get(&run.task.job)
+                    .and_then(|job| job.task(super::scheduler::place_of(&run.task)));
+                let stops = task
+                    .and_then(|task| task.live.as_ref())
+                    .is_none_or(|live| live.stage == Stage::Stopping);
+                if stops {
+                    ending.entry(at).or_default().add(need);
+                }
+            }
+        }
+        Board {
+            spots,
+            index,
+            ending,
+            victims: None,
+            busy_share: as_share(used, room),
+        }
+    }
+
+    fn place_step(&mut self, now: u64, board: &mut Board, wait: &Waiting) {
+        let Some(job) = self.jobs.get(&wait.job) else {
+            return;
+        };
+        let Some(step) = job.spec.steps.get(wait.step as usize).cloned() else {
+            return;
+        };
+        let wish = Wish {
+            service: &wait.queue.service,
+            step: &step,
+            far: false,
+            shuns: &[],
+        };
+        let patience = if board.busy_share < IDLE_SHARE {
+            FAR_IDLE_MS
+        } else {
+            2 * wait.predicted
+        };
+        let waited = now.saturating_sub(wait.since);
+        let tied = step.one_rack || !step.data_rack.is_empty();
+        let far = tied && (waited > patience || !place::ever_near(&board.spots, &wish, step.count));
+        let wish = Wish { far, ..wish };
+        if step.gang {
+            self.place_gang(now, board, wait, &wish);
+        } else {
+            self.place_singles(now, board, wait, &wish);
+        }
+    }
+
+    fn place_singles(&mut self, now: u64, board: &mut Board, wait: &Waiting, wish: &Wish<'_>) {
+        for &index in &wait.tasks {
+            let place = Place {
+                turn: wait.turn,
+                step: wait.step,
+                index,
+            };
+            let Some(job) = self.jobs.get(&wait.job) else {
+                return;
+            };
+            let shuns = job.task(place).map_or(&[][..], |task| &task.shuns);
+            let load = |name: &Name| load_of(job, wait, name);
+            let first = Wish { shuns, ..*wish };
+            let spot = place::single(&board.spots, &first, load)
+                .or_else(|| place::single(&board.spots, wish, load));
+            let Some(spot) = spot else {
+                return;
+            };
+            self.start(now, board, wait, &[(index, spot)]);
+        }
+    }
+
+    fn place_gang(&mut self, now: u64, board: &mut Board, wait: &Waiting, wish: &Wish<'_>) {
+        let count = u32::try_from(wait.tasks.len()).unwrap_or(u32::MAX);
+        let need = wish.step.need();
+        if let Some(kept) = self.kept(now, wait) {
+            let spots: Vec<usize> = kept
+                .iter()
+                .filter_map(|name| board.index.get(name).copied())
+                .collect();
+            let mut trial = board.spots.clone();
+            let whole = spots.len() == kept.len()
+                && spots.iter().all(|&at| {
+                    let fits = trial[at].open && need.fits(&trial[at].free);
+                    trial[at].free.sub(&need);
+                    fits
+                });
+            if whole {
+                self.start_gang(now, board, wait, &spots);
+            } else {
+                for at in spots {
+                    board.spots[at].free.sub(&need);
+                }
+            }
+            return;
+        }
+        let shuns = self.shuns(wait);
+        let first = Wish {
+            shuns: &shuns,
+            ..*wish
+        };
+        let found = place::gang(&board.spots, &first, count)
+            .or_else(|| place::gang(&board.spots, wish, count));
+        if let Some(spots) = found {
+            self.start_gang(now, board, wait, &spots);
+            return;
+        }
+        if wait.queue.priority == 0 {
+            self.preempt(now, board, wait, wish, count);
+        }
+    }
+
+    fn kept(&mut self, now: u64, wait: &Waiting) -> Option<Vec<Name>> {
+        let turn = self.jobs.get_mut(&wait.job)?.turns.get_mut(&wait.turn)?;
+        let stretch = turn.steps.get_mut(wait.step as usize)?;
+        if stretch
+            .kept
+            .as_ref()
+            .is_some_and(|(_, until)| *until <= now)
+        {
+            stretch.kept = None;
+        }
+        stretch.kept.as_ref().map(|(names, _)| names.clone())
+    }
+
+    fn shuns(&self, wait: &Waiting) -> Vec<Name> {
+        let tasks = self
+            .jobs
+            .get(&wait.job)
+            .and_then(|job| job.turns.get(&wait.turn))
+            .and_then(|turn| turn.steps.get(wait.step as usize))
+            .map_or(&[][..], |step| &step.tasks);
+        tasks.iter().flat_map(|task| task.shuns.clone()).collect()
+    }
+
+    /// Stops the cheapest work that makes room for a gang, and keeps the room for it.
+    fn preempt(
+        &mut self,
+        now: u64,
+        board: &mut Board,
+        wait: &Waiting,
+        wish: &Wish<'_>,
+        count: u32,
+    ) {
+        let all = match board.victims.take() {
+            Some(all) => all,
+            None => self.victims(now, board),
+        };
+        let found = victims::find(&board.spots, &board.ending, &all, wish, count);
+        let Some(found) = found else {
+            board.victims = Some(all);
+            return;
+        };
+        let names: Vec<Name> = found
+            .spots
+            .iter()
+            .map(|&at| board.spots[at].name.clone())
+            .collect();
+        log::info!(
+            "job={} step={} preempts={} spots={names:?} waited_ms={}",
+            wait.job,
+            wait.step,
+            found.victims.len(),
+            now.saturating_sub(wait.since)
+        );
+        let need = wish.step.need();
+        for &index in &found.victims {
+            let victim = &all[index];
+            log::info!(
+                "job={} step={} preempted by={} waste_core_s={:.0}",
+                victim.job,
+                victim.place.step,
+                wait.job,
+                victim.waste
+            );
+            for (at, freed) in &victim.frees {
+                board.ending.entry(*at).or_default().add(freed);
+            }
+            self.stop_step(now, &victim.job, victim.place);
+        }
+        for &at in &found.spots {
+            // What is not free yet comes out of the stops under way.
+            let spot = &mut board.spots[at];
+            let mut beyond = need;
+            beyond.sub(&spot.free);
+            spot.free.sub(&need);
+            if let Some(ending) = board.ending.get_mut(&at) {
+                ending.sub(&beyond);
+            }
+        }
+        let chosen: std::collections::HashSet<usize> = found.victims.into_iter().collect();
+        board.victims = Some(
+            all.into_iter()
+                .enumerate()
+                .filter(|(index, _)| !chosen.contains(index))
+                .map(|(_, victim)| victim)
+                .collect(),
+        );
+        let until = now + self.timing.stop_ms + KEEP_MS;
+        if let Some(stretch) = self
+            .jobs
+            .get_mut(&wait.job)
+            .and_then(|job| job.turns.get_mut(&wait.turn))
+            .and_then(|turn| turn.steps.get_mut(wait.step as usize))
+        {
+            stretch.kept = Some((names, until));
+        }
+    }
+
+    /// Lists work of lower priority, each gang as one.
+    fn victims(&self, now: u64, board: &Board) -> Vec<Victim> {
+        let Some(config) = &self.config else {
+            return Vec::new();
+        };
+        let mut found: HashMap<(Name, u32, u32, Option<u32>), Victim> = HashMap::new();
+        for (name, upstream) in &self.upstreams {
+            let Some(&at) = board.index.get(name) else {
+                continue;
+            };
+            for (run, need) in &upstream.runs {
+                let Some(job) = self.jobs.get(&run.task.job) else {
+                    continue;
+                };
+                let place = super::scheduler::place_of(&run.task);
+                let priority = config.queue(&job.queue).map_or(0, |queue| queue.priority);
+                let live = job.task(place).and_then(|task| task.live.as_ref());
+                let Some(live) = live.filter(|live| live.stage != Stage::Stopping) else {
+                    continue;
+                };
+                let step = &job.spec.steps[place.step as usize];
+                if priority == 0 || step.lasting {
+                    continue;
+                }
+                let single = (!step.gang).then_some(place.index);
+                let key = (run.task.job.clone(), place.turn, place.step, single);
+                let victim = found.entry(key).or_insert_with(|| Victim {
+                    job: run.task.job.clone(),
+                    place,
+                    waste: 0.0,
+                    frees: Vec::new(),
+                });
+                let unsaved = now.saturating_sub(live.saved_at.max(live.since));
+                victim.waste += core_seconds(need, unsaved);
+                victim.frees.push((at, *need));
+            }
+        }
+        found.into_values().collect()
+    }
+
+    /// Stops a run, or the whole gang that it belongs to.
+    fn stop_step(&mut self, now: u64, id: &Name, place: Place) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let gang = job.spec.steps[place.step as usize].gang;
+        let members: Vec<Place> = job
+            .live()
+            .into_iter()
+            .filter(|other| {
+                other.turn == place.turn
+                    && other.step == place.step
+                    && (gang || other.index == place.index)
+            })
+            .collect();
+        for member in members {
+            self.stop(id, member, now);
+        }
+    }
+
+    fn start_gang(&mut self, now: u64, board: &mut Board, wait: &Waiting, spots: &[usize]) {
+        let pairs: Vec<(u32, usize)> = wait
+            .tasks
+            .iter()
+            .copied()
+            .zip(spots.iter().copied())
+            .collect();
+        self.start(now, board, wait, &pairs);
+    }
+
+    /// Gives tasks their next run, and orders it; all of a gang share the number.
+    fn start(&mut self, now: u64, board: &mut Board, wait: &Waiting, pairs: &[(u32, usize)]) {
+        let Some(job) = self.jobs.get_mut(&wait.job) else {
+            return;
+        };
+        let need = job.spec.steps[wait.step as usize].need();
+        let place = |index| Place {
+            turn: wait.turn,
+            step: wait.step,
+            index,
+        };
+        let last = pairs
+            .iter()
+            .filter_map(|(index, _)| Some(job.task(place(*index))?.runs))
+            .max();
+        let number = last.unwrap_or(0) + 1;
+        let mut runs = Vec::with_capacity(pairs.len());
+        for &(index, spot) in pairs {
+            let at = board.spots[spot].name.clone();
+            board.spots[spot].free.sub(&need);
+            if let Some(task) = job.task_mut(place(index)) {
+                task.runs = number;
+                task.live = Some(Live {
+                    at: at.clone(),
+                    number,
+                    stage: Stage::Sending,
+                    since: now,
+                    known: None,
+                    tries: 0,
+                    percent: 0,
+                    moved: now,
+                    saved_at: now,
+                });
+            }
+            runs.push((at, run_id(&wait.job, place(index), number)));
+        }
+        if let Some(stretch) = job
+            .turns
+            .get_mut(&wait.turn)
+            .and_then(|turn| turn.steps.get_mut(wait.step as usize))
+        {
+            stretch.kept = None;
+        }
+        log::info!(
+            "job={} turn={} step={} run={number} tasks={} placed at={:?} waited_ms={}",
+            wait.job,
+            wait.turn,
+            wait.step,
+            runs.len(),
+            runs.iter().map(|(at, _)| &**at).collect::<Vec<_>>(),
+            now.saturating_sub(wait.since)
+        );
+        self.dirty.insert(wait.job.clone());
+        for (at, run) in runs {
+            if let Some(upstream) = self.upstreams.get_mut(&at) {
+                upstream.take(run.clone(), need);
+            }
+            self.send_start(now, &at, &run);
+        }
+    }
+}
+
+/// Returns the tasks of a step that wait: all of a gang, or those without a run.
+fn waiting_tasks(step: &Step, tasks: &[super::task::Task]) -> Vec<u32> {
+    let waits = |task: &super::task::Task| !task.done && task.live.is_none();
+    if step.gang && !tasks.iter().all(waits) {
+        return Vec::new();
+    }
+    let tasks = (0..).zip(tasks);
+    tasks
+        .filter(|(_, task)| waits(task))
+        .map(|(index, _)| index)
+        .collect()
+}
+
+/// Counts the runs of a step on an upstream.
+fn load_of(job: &Job, wait: &Waiting, name: &Name) -> u32 {
+    let Some(step) = job
+        .turns
+        .get(&wait.turn)
+        .and_then(|turn| turn.steps.get(wait.step as usize))
+    else {
+        return 0;
+    };
+    let here = |task: &&super::task::Task| task.live.as_ref().is_some_and(|l| l.at == *name);
+    u32::try_from(step.tasks.iter().filter(here).count()).unwrap_or(u32::MAX)
+}
+
+/// Predicts the longest chain of a job's steps, in milliseconds.
+pub(super) fn chain_ms(durations: &super::learn::Durations, job: &Job) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
+    for step in &job.spec.steps {
+        let before = step.after.iter().filter_map(|&at| ends.get(at as usize));
+        let start = before.max().copied().unwrap_or(0);
+        ends.push(start + durations.predict(&job.queue, step));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
+
+/// Returns how long after it is due a job of `queue` is in time, in milliseconds.
+pub(super) fn objective_ms(queue: &Queue, chain_ms: u64) -> u64 {
+    let chain = std::time::Duration::from_millis(chain_ms).mul_f64(queue.stretch.clamp(0.0, 1e3));
+    u64::try_from(chain.as_millis()).unwrap_or(u64::MAX) + queue.aim_ms
+}
+
+/// Core-seconds of `ms` of work; an accelerator counts as 8 cores.
+fn core_seconds(need: &Need, ms: u64) -> f64 {
+    let cores = need.cpu / 1_000 + need.accelerators * 8;
+    let total = cores.saturating_mul(ms) / 1_000;
+    u32::try_from(total).map_or(f64::from(u32::MAX), f64::from)
+}
+
+fn as_share(part: u64, whole: u64) -> f64 {
+    let part = u32::try_from(part).unwrap_or(u32::MAX);
+    let whole = u32::try_from(whole.max(1)).unwrap_or(u32::MAX);
+    f64::from(part) / f64::from(whole)
+}
--- /dev/null
+++ b/src/fleet/ports.rs
@@ -0,0 +1,179 @@
+//! What the scheduler's host needs of the outside: a store and the upstreams.
+
+use super::event::Held;
+use super::event::Reading;
+use super::event::Started;
+use super::event::Stopped;
+use super::model::Config;
+use super::model::Listing;
+use super::model::RunId;
+use super::row::Row;
+use crate::prelude::*;
+use std::fmt::Debug;
+use std::future::Future;
+use std::pin::Pin;
+
+/// A future of a trait object.
+pub type Wait<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// A set of rows with its own order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Area {
+    /// The jobs.
+    Jobs,
+    /// Who leads.
+    Lead,
+}
+
+/// Why the store did not do what it was asked.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum Error {
+    /// a writer with a higher epoch has written
+    Fenced,
+    /// the area has moved on
+    Moved,
+    /// the store declined: {0}
+    Declined(String),
+    /// no response: {0}
+    Silent(String),
+    /// the response cannot be read: {0}
+    Garbled(String),
+}
+
+impl std::error::Error for Error {}
+
+/// The result of a call of the store.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Under which condition rows are appended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Terms {
+    /// None.
+    Free,
+    /// The area ends here.
+    At(Offset),
+    /// No writer with a higher epoch has written; appends of an epoch are counted from 0, and one
+    /// that is sent again takes effect once.
+    Epoch {
+        /// The writer's epoch.
+        epoch: u64,
+        /// Counts its appends.
+        sequence: u64,
+    },
+}
+
+/// Rows that were read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rows {
+    /// The rows; of a key read twice the later counts.
+    pub rows: Vec<Row>,
+    /// The offset after the last one.
+    pub end: Offset,
+}
+
+/// What was read since the last time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Feed<T> {
+    /// What is new, in order.
+    pub items: Vec<T>,
+    /// Where to read on.
+    pub next: Offset,
+    /// Whether `items` are all that there is, instead of what changed.
+    pub whole: bool,
+}
+
+/// A change of what discovery knows.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Sighting {
+    /// An upstream has this entry now.
+    Listed(Listing),
+    /// An upstream has no entry any more.
+    Unlisted(Name),
+}
+
+/// The fenced store of rows, the operators' configuration and the discovery of upstreams.
+pub trait Store: Send + Sync + Debug {
+    /// Reads the newest row of each key.
+    ///
+    /// # Errors
+    ///
+    /// The store declined, or did not respond.
+    fn newest(&self, area: Area) -> Wait<'_, Result<Rows>>;
+
+    /// Reads rows from `from` on, waiting up to `wait_ms` for a first one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::newest`]; [`Error::Moved`] if rows from there on were dropped.
+    fn read(&self, area: Area, from: Offset, wait_ms: u64) -> Wait<'_, Result<Rows>>;
+
+    /// Appends rows, all or none.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Fenced`] and [`Error::Moved`] where the terms do not hold, and
+    /// [`Error::Declined`]: nothing was done. [`Error::Silent`]: it may have been done, or be
+    /// done yet.
+    fn append<'a>(&'a self, area: Area, terms: Terms, rows: &'a [Row]) -> Wait<'a, Result<()>>;
+
+    /// Reads configurations, all or from an offset on.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::newest`].
+    fn configs(&self, from: Option<Offset>, wait_ms: u64) -> Wait<'_, Result<Feed<Arc<Config>>>>;
+
+    /// Reads discovery, all or from an offset on.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::newest`].
+    fn sightings(&self, from: Option<Offset>) -> Wait<'_, Result<Feed<Sighting>>>;
+}
+
+/// Whom an order goes to, and under which token.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// The upstream's identity.
+    pub id: Name,
+    /// Its address.
+    pub addr: Name,
+    /// The fencing token.
+    pub token: u64,
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartOrder {
+    /// The run.
+    pub run: RunId,
+    /// The job's text.
+    pub text: Arc<str>,
+    /// The lease, on the upstream's clock, in milliseconds.
+    pub until_ms: u64,
+    /// What to resume from, empty for the beginning.
+    pub saved: String,
+}
+
+/// An order to renew leases and report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HoldOrder {
+    /// The lease, on the upstream's clock, in milliseconds; 0 to leave it.
+    pub until_ms: u64,
+    /// Ends up to this number are stored.
+    pub seen: u64,
+    /// How long the upstream may wait for an end, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Orders to upstreams.
+pub trait Upstreams: Send + Sync + Debug {
+    /// Orders a start.
+    fn start(&self, target: Target, order: StartOrder) -> Wait<'_, (Started, Option<Reading>)>;
+
+    /// Orders a stop.
+    fn stop(&self, target: Target, run: RunId) -> Wait<'_, (Stopped, Option<Reading>)>;
+
+    /// Renews leases and asks for a report.
+    fn hold(&self, target: Target, order: HoldOrder) -> Wait<'_, (Held, Option<Reading>)>;
+}
--- /dev/null
+++ b/src/fleet/runs.rs
@@ -0,0 +1,680 @@
+//! Follows runs from the order to start until the end is proven.
+//!
+//! A task starts again only when its last run is settled: its end was listed, an upstream that
+//! has barred it does not list it, the upstream's process is gone, or every lease has expired.
+
+use super::effect::Effect;
+use super::event::AtWork;
+use super::event::Ended;
+use super::event::Held;
+use super::event::Phase;
+use super::event::Report;
+use super::event::Started;
+use super::event::Stopped;
+use super::model::How;
+use super::model::RunId;
+use super::scheduler::Scheduler;
+use super::scheduler::place_of;
+use super::scheduler::run_id;
+use super::task::Live;
+use super::task::Place;
+use super::task::Stage;
+use super::timing::DECLINED_MS;
+use super::timing::FAILS_SUSPECT;
+use super::timing::LOOK_MS;
+use super::timing::QUARANTINE_MS;
+use super::timing::RETRY_MS;
+use super::timing::START_TRIES;
+use super::upstream::Renewal;
+use crate::prelude::*;
+
+/// Quarantine stops doubling after so many times.
+const QUARANTINE_DOUBLINGS: u32 = 3;
+
+impl Scheduler {
+    fn live_of(&mut self, at: &Name, run: &RunId) -> Option<&mut Live> {
+        let job = self.jobs.get_mut(&run.task.job)?;
+        let live = job.task_mut(place_of(&run.task))?.live.as_mut()?;
+        (live.number == run.number && live.at == *at).then_some(live)
+    }
+
+    /// Handles the response to an order to start.
+    pub(super) fn started(&mut self, now: u64, at: &Name, run: &RunId, answer: Started) {
+        let Some(live) = self.live_of(at, run) else {
+            return;
+        };
+        if live.stage != Stage::Sending {
+            return;
+        }
+        let first = live.tries <= 1;
+        let tries = live.tries;
+        match answer {
+            Started::Yes => {
+                live.stage = Stage::Running;
+                live.known = Some(now);
+                live.moved = now;
+                live.saved_at = now;
+                self.begun(&run.task.job);
+                return;
+            }
+            Started::Fenced => {
+                self.resign(format!("upstream {at} has seen a higher token"));
+                return;
+            }
+            _ => {}
+        }
+        log::info!(
+            "job={} step={} index={} run={} upstream={at} start={answer:?} tries={tries}",
+            run.task.job,
+            run.task.step,
+            run.task.index,
+            run.number
+        );
+        match answer {
+            Started::Silent if tries < START_TRIES => self.send_start(now, at, run),
+            Started::Silent | Started::Barred => self.stop_gang(now, run),
+            Started::OtherLife => self.life_ended(now, at),
+            _ => {
+                let quiet = if answer == Started::Full {
+                    DECLINED_MS
+                } else {
+                    2 * DECLINED_MS
+                };
+                if let Some(upstream) = self.upstreams.get_mut(at) {
+                    upstream.shut(now + quiet);
+                    if answer == Started::Late {
+                        upstream.doubt(now);
+                    }
+                }
+                if first {
+                    self.settle(now, run, None);
+                }
+                self.stop_gang(now, run);
+            }
+        }
+    }
+
+    /// Sends the order to start a run, or sends it again.
+    pub(super) fn send_start(&mut self, now: u64, at: &Name, run: &RunId) {
+        let lease_ms = self.timing.lease_ms();
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        let text = job.text.clone();
+        let keeper = keeper_of(job, place_of(&run.task));
+        let saved = job
+            .task(keeper)
+            .map(|task| task.saved.clone())
+            .unwrap_or_default();
+        let Some(live) = job
+            .task_mut(place_of(&run.task))
+            .and_then(|task| task.live.as_mut())
+        else {
+            return;
+        };
+        live.tries += 1;
+        let Some(upstream) = self.upstreams.get_mut(at) else {
+            return;
+        };
+        let until_ms = upstream.grant(now, lease_ms);
+        self.out.gated.push(Effect::Start {
+            at: at.clone(),
+            addr: upstream.listing.addr.clone(),
+            run: run.clone(),
+            text,
+            until_ms,
+            saved,
+        });
+    }
+
+    fn begun(&mut self, id: &Name) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && !job.begun
+        {
+            job.begun = true;
+            self.dirty.insert(id.clone());
+        }
+    }
+
+    /// Stops a run, and with it the rest of its gang.
+    fn stop_gang(&mut self, now: u64, run: &RunId) {
+        let Some(job) = self.jobs.get(&run.task.job) else {
+            return;
+        };
+        let place = place_of(&run.task);
+        let gang = job
+            .spec
+            .steps
+            .get(place.step as usize)
+            .is_some_and(|step| step.gang);
+        let members: Vec<Place> = if gang {
+            let all = job.live().into_iter();
+            all.filter(|other| other.turn == place.turn && other.step == place.step)
+                .collect()
+        } else {
+            vec![place]
+        };
+        for member in members {
+            self.stop(&run.task.job, member, now);
+        }
+    }
+
+    /// Orders a live run to stop.
+    pub(super) fn stop(&mut self, id: &Name, place: Place, now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(live) = job.task_mut(place).and_then(|task| task.live.as_mut()) else {
+            return;
+        };
+        if live.stage == Stage::Stopping {
+            return;
+        }
+        live.stage = Stage::Stopping;
+        live.known = None;
+        live.moved = now;
+        let run = run_id(id, place, live.number);
+        let at = live.at.clone();
+        self.send_stop(&at, run);
+    }
+
+    fn send_stop(&mut self, at: &Name, run: RunId) {
+        let Some(upstream) = self.upstreams.get(at) else {
+            return;
+        };
+        if upstream.listing.addr.is_empty() {
+            return;
+        }
+        self.out.free.push(Effect::Stop {
+            at: at.clone(),
+            addr: upstream.listing.addr.clone(),
+            run,
+        });
+    }
+
+    /// Handles the response to an order to stop.
+    pub(super) fn stopped(&mut self, now: u64, at: &Name, run: &RunId, answer: Stopped) {
+        match answer {
+            Stopped::Fenced => self.resign(format!("upstream {at} has seen a higher token")),
+            Stopped::OtherLife => self.life_ended(now, at),
+            Stopped::Yes => {
+                if let Some(live) = self.live_of(at, run) {
+                    live.known = Some(now);
+                    self.look(at);
+                }
+            }
+            Stopped::Silent => {
+                if let Some(live) = self.live_of(at, run) {
+                    live.moved = now;
+                }
+            }
+        }
+    }
+
+    /// Makes a renewal of `at` due at once.
+    fn look(&mut self, at: &Name) {
+        if let Some(upstream) = self.upstreams.get_mut(at) {
+            upstream.look = true;
+        }
+    }
+
+    /// Handles the response to a renewal that was sent at `sent`.
+    pub(super) fn held(&mut self, now: u64, at: &Name, sent: u64, answer: Held) {
+        let Some(upstream) = self.upstreams.get_mut(at) else {
+            return;
+        };
+        upstream.holds = upstream.holds.saturating_sub(1);
+        match answer {
+            Held::Fenced => self.resign(format!("upstream {at} has seen a higher token")),
+            Held::OtherLife => self.life_ended(now, at),
+            Held::Silent => {
+                upstream.misses += 1;
+                upstream.retry_at = now + RETRY_MS;
+                if upstream.is_silent() {
+                    log::warn!(
+                        "upstream={at} silent misses={} runs={} leases_end_in_ms={}",
+                        upstream.misses,
+                        upstream.runs.len(),
+                        upstream.lease_end.saturating_sub(now)
+                    );
+                }
+            }
+            Held::Report(report) => {
+                upstream.told(sent);
+                if upstream.misses > 0 {
+                    log::info!("upstream={at} answers again");
+                    upstream.misses = 0;
+                    self.changed = true;
+                }
+                self.reported(now, at, sent, report);
+            }
+        }
+    }
+
+    fn reported(&mut self, now: u64, at: &Name, sent: u64, report: Report) {
+        let Some(upstream) = self.upstreams.get_mut(at) else {
+            return;
+        };
+        let known = upstream.listing.born;
+        if report.born != 0 && report.born != known {
+            if known != 0 {
+                log::warn!(
+                    "upstream={at} restarted born={} before={known}",
+                    report.born
+                );
+                upstream.reborn();
+            }
+            upstream.listing.born = report.born;
+        }
+        let handled = upstream.handled;
+        let last = report.ended.iter().map(|end| end.number).max();
+        for end in report.ended.iter().filter(|end| end.number > handled) {
+            self.ended(now, at, end);
+        }
+        if let Some(last) = last.filter(|last| *last > handled) {
+            if let Some(upstream) = self.upstreams.get_mut(at) {
+                upstream.handled = last;
+            }
+            self.out.gated.push(Effect::Noted {
+                at: at.clone(),
+                number: last,
+            });
+        }
+        for work in &report.running {
+            self.at_work(now, at, sent, work);
+        }
+        self.find_vanished(now, at, sent, &report);
+    }
+
+    fn at_work(&mut self, now: u64, at: &Name, sent: u64, work: &AtWork) {
+        let Some(live) = self.live_of(at, &work.run) else {
+            if self.is_foreign(&work.run) {
+                log::warn!(
+                    "job={} run={} upstream={at} is at work though it was settled; stopping it",
+                    work.run.task.job,
+                    work.run.number
+                );
+                self.send_stop(at, work.run.clone());
+            }
+            return;
+        };
+        if live.percent != work.percent {
+            live.percent = work.percent;
+            if live.stage != Stage::Stopping {
+                live.moved = now;
+            }
+        }
+        if live.stage == Stage::Sending {
+            live.stage = Stage::Running;
+            live.known = Some(sent);
+            self.begun(&work.run.task.job);
+        }
+        self.save(now, &work.run, &work.saved);
+    }
+
+    /// Keeps what a run has saved; of a gang, the first task keeps it for all.
+    fn save(&mut self, now: u64, run: &RunId, saved: &str) {
+        let Some(job) = self
+            .jobs
+            .get_mut(&run.task.job)
+            .filter(|_| !saved.is_empty())
+        else {
+            return;
+        };
+        let place = place_of(&run.task);
+        let keeper = keeper_of(job, place);
+        let Some(task) = job.task_mut(keeper).filter(|task| task.saved != saved) else {
+            return;
+        };
+        saved.clone_into(&mut task.saved);
+        if let Some(live) = job.task_mut(place).and_then(|task| task.live.as_mut()) {
+            live.saved_at = now;
+        }
+    }
+
+    /// Tells whether a run that is not live here is to be stopped: not when it has just ended.
+    fn is_foreign(&self, run: &RunId) -> bool {
+        let Some(job) = self.jobs.get(&run.task.job) else {
+            return true;
+        };
+        let Some(task) = job.task(place_of(&run.task)) else {
+            return job.turns.contains_key(&run.task.turn);
+        };
+        !task.done
+            && task
+                .live
+                .as_ref()
+                .is_some_and(|live| live.number > run.number)
+    }
+
+    /// Settles the runs that a report omits though it was made after the last word on them.
+    fn find_vanished(&mut self, now: u64, at: &Name, sent: u64, report: &Report) {
+        let Some(upstream) = self.upstreams.get(at) else {
+            return;
+        };
+        let listed = |run: &RunId| report.running.iter().any(|work| work.run == *run);
+        let missing: Vec<RunId> = upstream
+            .runs
+            .keys()
+            .filter(|run| !listed(run))
+            .cloned()
+            .collect();
+        for run in missing {
+            let known = self.live_of(at, &run).and_then(|live| live.known);
+            let stale = self.live_of(at, &run).is_none();
+            if stale || known.is_some_and(|known| known <= sent) {
+                self.settle(now, &run, None);
+            }
+        }
+    }
+
+    /// Records how a run ended.
+    fn ended(&mut self, now: u64, at: &Name, end: &Ended) {
+        let run = &end.run;
+        let Some(live) = self.live_of(at, run).map(|live| live.clone()) else {
+            return;
+        };
+        let place = place_of(&run.task);
+        self.save(now, run, &end.saved);
+        if end.how != How::Done {
+            log::info!(
+                "job={} step={} index={} run={} upstream={at} ended={:?} after_ms={}",
+                run.task.job,
+                place.step,
+                place.index,
+                run.number,
+                end.how,
+                now.saturating_sub(live.since)
+            );
+        }
+        self.settle(now, run, Some(end.how));
+        match end.how {
+            How::Done => self.done(now, at, run, &live),
+            How::Failed => self.failed(now, at, run),
+            How::Alone | How::Lapsed | How::Stopped | How::Broken => {
+                if end.how != How::Broken || live.stage != Stage::Stopping {
+                    self.stop_rest(now, run);
+                }
+            }
+        }
+    }
+
+    /// Stops what is left of a gang that lost a member.
+    fn stop_rest(&mut self, now: u64, run: &RunId) {
+        let gang = self
+            .jobs
+            .get(&run.task.job)
+            .and_then(|job| job.spec.steps.get(run.task.step as usize))
+            .is_some_and(|step| step.gang);
+        if gang {
+            self.stop_gang(now, run);
+        }
+    }
+
+    /// Settles a run: it is certain that it does not run, and what it took is free.
+    pub(super) fn settle(&mut self, now: u64, run: &RunId, how: Option<How>) {
+        let place = place_of(&run.task);
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            self.release_everywhere(run);
+            return;
+        };
+        let Some(task) = job.task_mut(place) else {
+            self.release_everywhere(run);
+            return;
+        };
+        let Some(live) = task.live.take_if(|live| live.number == run.number) else {
+            self.release_everywhere(run);
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(&live.at) {
+            upstream.release(run);
+        }
+        if how.is_none() {
+            log::info!(
+                "job={} step={} index={} run={} upstream={} settled as not running stage={:?}",
+                run.task.job,
+                place.step,
+                place.index,
+                run.number,
+                live.at,
+                live.stage
+            );
+        }
+        if let Some(step) = job
+            .turns
+            .get_mut(&place.turn)
+            .and_then(|turn| turn.steps.get_mut(place.step as usize))
+        {
+            step.ready = Some(now);
+        }
+        let finished = job.closed.is_some();
+        self.dirty.insert(run.task.job.clone());
+        if !finished {
+            self.pending.insert(run.task.job.clone());
+        }
+        self.changed = true;
+    }
+
+    fn release_everywhere(&mut self, run: &RunId) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.release(run);
+        }
+    }
+
+    fn done(&mut self, now: u64, at: &Name, run: &RunId, live: &Live) {
+        if let Some(upstream) = self.upstreams.get_mut(at) {
+            upstream.failed.clear();
+            upstream.quarantines = 0;
+        }
+        let place = place_of(&run.task);
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        let Some(step) = job.spec.steps.get(place.step as usize).cloned() else {
+            return;
+        };
+        let Some(turn) = job.turns.get_mut(&place.turn) else {
+            return;
+        };
+        let Some(stretch) = turn.steps.get_mut(place.step as usize) else {
+            return;
+        };
+        if step.lasting {
+            return;
+        }
+        if step.gang {
+            for task in &mut stretch.tasks {
+                task.done = true;
+            }
+        } else if let Some(task) = stretch.tasks.get_mut(place.index as usize) {
+            task.done = true;
+        }
+        stretch.left = super::task::count_left(&stretch.tasks);
+        if run.number == 1 {
+            let queue = job.queue.clone();
+            self.durations
+                .record(&queue, &step, now.saturating_sub(live.since));
+        }
+        self.advance(now, &run.task.job);
+    }
+
+    /// Drops occurrences that are done, and completes the job after the last one.
+    fn advance(&mut self, now: u64, id: &Name) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.closed.is_some() {
+            return;
+        }
+        let settled = |turn: &super::task::Turn| {
+            let mut tasks = turn.steps.iter().flat_map(|step| &step.tasks);
+            turn.is_done() && tasks.all(|task| task.live.is_none())
+        };
+        let all_done = job.turns.values().all(super::task::Turn::is_done);
+        let over = job.next_turn >= job.times();
+        job.turns.retain(|_, turn| !settled(turn));
+        self.dirty.insert(id.clone());
+        self.pending.insert(id.clone());
+        if over && all_done {
+            self.close(id, Phase::Completed, now);
+        }
+    }
+
+    fn failed(&mut self, now: u64, at: &Name, run: &RunId) {
+        self.blame(now, at, &run.task.job);
+        let place = place_of(&run.task);
+        let attempts = self
+            .jobs
+            .get(&run.task.job)
+            .and_then(|job| self.config.as_ref()?.queue(&job.queue))
+            .map_or(u32::MAX, |queue| queue.attempts.max(1));
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        let Some(step) = job.spec.steps.get(place.step as usize) else {
+            return;
+        };
+        let lasting = step.lasting;
+        if let Some(task) = job.task_mut(place)
+            && !task.shuns.contains(at)
+        {
+            task.shuns.push(at.clone());
+        }
+        let counter = keeper_of(job, place);
+        let Some(task) = job.task_mut(counter) else {
+            return;
+        };
+        if task.failed_run < run.number {
+            task.failed_run = run.number;
+            task.fails += 1;
+        }
+        let spent = task.fails >= attempts && !lasting && !task.done;
+        self.dirty.insert(run.task.job.clone());
+        if spent {
+            self.close(&run.task.job, Phase::Failed, now);
+        } else {
+            self.stop_rest(now, run);
+        }
+    }
+
+    /// Counts a failure against an upstream, and shuts it if several jobs failed there in a row.
+    fn blame(&mut self, now: u64, at: &Name, job: &Name) {
+        let Some(upstream) = self.upstreams.get_mut(at) else {
+            return;
+        };
+        if !upstream.failed.contains(job) {
+            upstream.failed.push(job.clone());
+        }
+        if upstream.failed.len() >= FAILS_SUSPECT as usize {
+            let doubled = upstream.quarantines.min(QUARANTINE_DOUBLINGS);
+            let wait = QUARANTINE_MS << doubled;
+            upstream.quarantines += 1;
+            upstream.failed.truncate(1);
+            upstream.shut(now + wait);
+            log::warn!("upstream={at} fails what it starts; no new work for {wait} ms");
+        }
+    }
+
+    /// Settles everything at an upstream whose process is gone.
+    fn life_ended(&mut self, now: u64, at: &Name) {
+        let Some(upstream) = self.upstreams.get_mut(at) else {
+            return;
+        };
+        log::warn!("upstream={at} gone: its address answers for another process");
+        upstream.listed = false;
+        self.settle_all(now, at);
+    }
+
+    /// Settles all runs at an upstream.
+    fn settle_all(&mut self, now: u64, at: &Name) {
+        let Some(upstream) = self.upstreams.get(at) else {
+            return;
+        };
+        let runs: Vec<RunId> = upstream.runs.keys().cloned().collect();
+        for run in runs {
+            self.settle(now, &run, None);
+            self.stop_rest(now, &run);
+        }
+    }
+
+    /// Looks at runs that wait for something: expired leases, stops without a response.
+    pub(super) fn watch_runs(&mut self, now: u64) {
+        let expired: Vec<Name> = self
+            .upstreams
+            .iter()
+            .filter(|(_, up)| !up.runs.is_empty() && up.lease_end <= now)
+            .filter(|(_, up)| up.is_silent() || up.listing.addr.is_empty())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for at in expired {
+            log::warn!("upstream={at} unreachable until every lease expired; settling its runs");
+            self.settle_all(now, &at);
+        }
+        let mut again = Vec::new();
+        let mut looks = Vec::new();
+        for (at, upstream) in &self.upstreams {
+            for run in upstream.runs.keys() {
+                let Some(live) = self
+                    .jobs
+                    .get(&run.task.job)
+                    .and_then(|job| job.task(place_of(&run.task)))
+                    .and_then(|task| task.live.as_ref())
+                else {
+                    continue;
+                };
+                if live.stage != Stage::Stopping || now < live.moved + LOOK_MS {
+                    continue;
+                }
+                match live.known {
+                    None => again.push((at.clone(), run.clone())),
+                    Some(_) => looks.push(at.clone()),
+                }
+            }
+        }
+        for (at, run) in again {
+            if let Some(live) = self.live_of(&at, &run) {
+                live.moved = now;
+            }
+            self.send_stop(&at, run);
+        }
+        for at in looks {
+            self.look(&at);
+        }
+    }
+
+    /// Renews the leases of upstreams that hold runs, acknowledges ends, and asks silent ones.
+    pub(super) fn renew(&mut self, now: u64) {
+        let mut gone = Vec::new();
+        for (at, upstream) in &mut self.upstreams {
+            match upstream.renewal(now, &self.timing) {
+                Renewal::Drop => gone.push(at.clone()),
+                Renewal::None => {}
+                Renewal::Send { until_ms, wait_ms } => self.out.free.push(Effect::Hold {
+                    at: at.clone(),
+                    addr: upstream.listing.addr.clone(),
+                    until_ms,
+                    seen: upstream.seen,
+                    wait_ms,
+                }),
+            }
+        }
+        for at in gone {
+            self.upstreams.remove(&at);
+        }
+    }
+
+    fn resign(&mut self, why: String) {
+        self.out.free.push(Effect::Resign { why });
+    }
+}
+
+/// Returns the task that keeps what `place` saves and counts its failures: a gang has one.
+fn keeper_of(job: &super::task::Job, place: Place) -> Place {
+    let step = job.spec.steps.get(place.step as usize);
+    let index = if step.is_some_and(|step| step.gang) {
+        0
+    } else {
+        place.index
+    };
+    Place { index, ..place }
+}
--- /dev/null
+++ b/src/fleet/scheduler.rs
@@ -0,0 +1,421 @@
+//! The reducer: its state, and the one function that every event goes through.
+
+use super::effect::Effect;
+use super::effect::Output;
+use super::event::Event;
+use super::event::Phase;
+use super::event::Reading;
+use super::event::Reply;
+use super::learn::Durations;
+use super::model::Config;
+use super::model::Listing;
+use super::model::RunId;
+use super::model::TaskId;
+use super::row::JobRow;
+use super::row::Row;
+use super::row::StateRow;
+use super::row::job_key;
+use super::row::state_key;
+use super::task::Job;
+use super::task::Place;
+use super::task::Turn;
+use super::timing::Timing;
+use super::upstream::Upstream;
+use crate::prelude::*;
+use prost::Message;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+/// The state of the VM that leads.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(super) timing: Timing,
+    pub(super) config: Option<Arc<Config>>,
+    pub(super) jobs: BTreeMap<Name, Job>,
+    pub(super) upstreams: BTreeMap<Name, Upstream>,
+    pub(super) durations: Durations,
+    pub(super) out: Output,
+    /// Jobs whose changing row is to be stored after this step.
+    pub(super) dirty: BTreeSet<Name>,
+    /// Jobs that are not closed.
+    pub(super) open: BTreeSet<Name>,
+    /// Jobs with a task that may wait for a place.
+    pub(super) pending: BTreeSet<Name>,
+    /// Closed jobs, kept for callers that ask.
+    closed: BTreeSet<(u64, Name)>,
+    /// Jobs with occurrences to come.
+    timed: BTreeSet<Name>,
+    /// Whether something changed that may let a task start.
+    pub(super) changed: bool,
+    /// The time of day minus the own time, in milliseconds.
+    wall_offset: i64,
+}
+
+impl Scheduler {
+    /// Makes the state of a VM that has just taken the lead.
+    ///
+    /// `rows` are the store's; `inherited_ms` is how long, from `now`, a lease that another VM
+    /// asked for may yet run.
+    ///
+    /// # Errors
+    ///
+    /// Names the first row that cannot be decoded.
+    pub fn load(
+        timing: Timing,
+        rows: Vec<Row>,
+        now: u64,
+        wall_ms: u64,
+        inherited_ms: u64,
+    ) -> Result<Self, String> {
+        let mut scheduler = Self {
+            timing,
+            config: None,
+            jobs: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            durations: Durations::default(),
+            out: Output::default(),
+            dirty: BTreeSet::new(),
+            open: BTreeSet::new(),
+            pending: BTreeSet::new(),
+            closed: BTreeSet::new(),
+            timed: BTreeSet::new(),
+            changed: true,
+            wall_offset: 0,
+        };
+        scheduler.set_wall(now, wall_ms);
+        let mut states = HashMap::new();
+        let mut fixed = Vec::new();
+        for row in rows {
+            let bad = |error| format!("row {}: {error}", row.key);
+            if let Some(id) = row.key.strip_prefix("s.") {
+                let state = StateRow::decode(&*row.value).map_err(bad)?;
+                states.insert(id.to_owned(), state);
+            } else if let Some(id) = row.key.strip_prefix("j.") {
+                let job = JobRow::decode(&*row.value).map_err(bad)?;
+                fixed.push((id.to_owned(), job));
+            }
+        }
+        for (id, row) in fixed {
+            let state = states.remove(&id).unwrap_or_default();
+            let job = Job::load(&id, row, state, now, wall_ms);
+            scheduler.adopt(job, now, now + inherited_ms);
+        }
+        Ok(scheduler)
+    }
+
+    fn adopt(&mut self, job: Job, now: u64, lease_end: u64) {
+        for place in job.live() {
+            let Some(live) = job.task(place).and_then(|task| task.live.as_ref()) else {
+                continue;
+            };
+            let upstream = self
+                .upstreams
+                .entry(live.at.clone())
+                .or_insert_with(|| Upstream::unlisted(&live.at, now, lease_end));
+            let run = run_id(&job.id, place, live.number);
+            let need = job.spec.steps[place.step as usize].need();
+            upstream.take(run, need);
+        }
+        match job.closed {
+            Some((_, at)) => {
+                self.closed.insert((at, job.id.clone()));
+            }
+            None => {
+                self.open.insert(job.id.clone());
+                self.pending.insert(job.id.clone());
+                if job.next_turn < job.times() {
+                    self.timed.insert(job.id.clone());
+                }
+            }
+        }
+        self.jobs.insert(job.id.clone(), job);
+    }
+
+    /// Handles one event; effects and rows gather until [`Scheduler::finish`].
+    pub fn step(&mut self, now: u64, event: Event) {
+        match event {
+            Event::Called { call, what } => self.called(now, call, what),
+            Event::Config(config) => self.configured(config),
+            Event::Listed(listings) => self.listed(now, listings),
+            Event::Unlisted(names) => self.unlisted(&names),
+            Event::Started {
+                at,
+                run,
+                answer,
+                clock,
+            } => {
+                self.read_clock(&at, clock);
+                self.started(now, &at, &run, answer);
+            }
+            Event::Stopped {
+                at,
+                run,
+                answer,
+                clock,
+            } => {
+                self.read_clock(&at, clock);
+                self.stopped(now, &at, &run, answer);
+            }
+            Event::Held {
+                at,
+                sent,
+                answer,
+                clock,
+            } => {
+                self.read_clock(&at, clock);
+                self.held(now, &at, sent, answer);
+            }
+            Event::Noted { at, number } => {
+                if let Some(upstream) = self.upstreams.get_mut(&at) {
+                    upstream.seen = upstream.seen.max(number);
+                }
+            }
+            Event::Tick => {}
+        }
+    }
+
+    /// Does what time and the events so far call for: begins occurrences, places tasks, renews
+    /// leases; returns all that is to be stored and carried out.
+    pub fn finish(&mut self, now: u64, wall_ms: u64) -> Output {
+        self.set_wall(now, wall_ms);
+        self.begin_turns(now, wall_ms);
+        self.watch_runs(now);
+        if self.changed {
+            self.changed = false;
+            self.plan(now);
+        }
+        self.renew(now);
+        self.forget(now);
+        for id in std::mem::take(&mut self.dirty) {
+            self.store(&id, now, wall_ms);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn set_wall(&mut self, now: u64, wall_ms: u64) {
+        self.wall_offset = wall_ms.cast_signed() - now.cast_signed();
+    }
+
+    /// Returns the time of day that belongs to the own time `now`.
+    pub(super) fn wall_ms(&self, now: u64) -> u64 {
+        now.saturating_add_signed(self.wall_offset)
+    }
+
+    fn store(&mut self, id: &Name, now: u64, wall_ms: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if !job.stored {
+            job.stored = true;
+            self.out.rows.push(Row {
+                key: job_key(id),
+                value: job.job_row().encode_to_vec(),
+            });
+        }
+        self.out.rows.push(Row {
+            key: state_key(id),
+            value: job.state_row(now, wall_ms).encode_to_vec(),
+        });
+    }
+
+    fn configured(&mut self, config: Arc<Config>) {
+        let newer = self
+            .config
+            .as_ref()
+            .is_none_or(|held| held.version < config.version);
+        if newer {
+            log::info!(
+                "configuration version={} queues={} keys={} in force",
+                config.version,
+                config.queues.len(),
+                config.keys.len()
+            );
+            self.config = Some(config);
+            self.changed = true;
+        }
+    }
+
+    fn listed(&mut self, now: u64, listings: Vec<Listing>) {
+        for listing in listings {
+            let Some(known) = self.upstreams.get_mut(&listing.id) else {
+                log::info!(
+                    "upstream={} service={} rack={} listed",
+                    listing.id,
+                    listing.service,
+                    listing.rack()
+                );
+                let upstream = Upstream::new(listing.clone(), now);
+                self.upstreams.insert(listing.id.clone(), upstream);
+                self.changed = true;
+                continue;
+            };
+            if known.listing.ready != listing.ready || !known.listed {
+                log::info!("upstream={} takes new work: {}", listing.id, listing.ready);
+                self.changed = true;
+            }
+            known.rack = listing.rack();
+            if known.listing.born != listing.born || known.clock.clock_ms == 0 {
+                known.clock = Reading {
+                    clock_ms: listing.clock_ms,
+                    at: now,
+                };
+            }
+            known.listing = listing;
+            known.listed = true;
+        }
+    }
+
+    fn unlisted(&mut self, names: &[Name]) {
+        for name in names {
+            let Some(known) = self.upstreams.get_mut(name) else {
+                continue;
+            };
+            log::info!("upstream={name} left discovery runs={}", known.runs.len());
+            known.listed = false;
+            if known.runs.is_empty() && known.holds == 0 {
+                self.upstreams.remove(name);
+            }
+        }
+    }
+
+    fn read_clock(&mut self, at: &Name, clock: Option<Reading>) {
+        if let Some(upstream) = self.upstreams.get_mut(at) {
+            upstream.read_clock(clock);
+        }
+    }
+
+    /// Begins the occurrences that are due.
+    fn begin_turns(&mut self, now: u64, wall_ms: u64) {
+        let due: Vec<Name> = self
+            .timed
+            .iter()
+            .filter(|id| {
+                self.jobs
+                    .get(*id)
+                    .is_some_and(|job| job.due_ms(job.next_turn) <= wall_ms)
+            })
+            .cloned()
+            .collect();
+        for id in due {
+            self.begin_due(&id, now, wall_ms);
+        }
+    }
+
+    pub(super) fn begin_due(&mut self, id: &Name, now: u64, wall_ms: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        while job.next_turn < job.times() && job.due_ms(job.next_turn) <= wall_ms {
+            let number = job.next_turn;
+            let due_ms = job.due_ms(number);
+            let late = wall_ms - due_ms;
+            let turn = Turn::new(&job.spec, now.saturating_sub(late), due_ms);
+            job.turns.insert(number, turn);
+            job.next_turn += 1;
+        }
+        if job.next_turn >= job.times() {
+            self.timed.remove(id);
+        } else {
+            self.timed.insert(id.clone());
+        }
+        self.open.insert(id.clone());
+        self.pending.insert(id.clone());
+        self.dirty.insert(id.clone());
+        self.changed = true;
+    }
+
+    /// Closes a job; its live runs are stopped.
+    pub(super) fn close(&mut self, id: &Name, phase: Phase, now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.closed.is_some() {
+            return;
+        }
+        log::info!(
+            "job={id} queue={} closed as {phase:?} age_ms={}",
+            job.queue,
+            now.saturating_sub(job.arrived)
+        );
+        job.closed = Some((phase, now));
+        let live = job.live();
+        self.closed.insert((now, id.clone()));
+        self.open.remove(id);
+        self.pending.remove(id);
+        self.timed.remove(id);
+        self.dirty.insert(id.clone());
+        for place in live {
+            // Members of a gang that is done end by themselves.
+            if !self
+                .jobs
+                .get(id)
+                .and_then(|job| job.task(place))
+                .is_some_and(|task| task.done)
+            {
+                self.stop(id, place, now);
+            }
+        }
+        self.changed = true;
+    }
+
+    /// Drops jobs that were closed long enough ago.
+    fn forget(&mut self, now: u64) {
+        while let Some((at, id)) = self.closed.first().cloned() {
+            if at + self.timing.keep_ms > now {
+                break;
+            }
+            self.closed.pop_first();
+            if self.jobs.get(&id).is_some_and(|job| !job.live().is_empty()) {
+                self.closed.insert((now, id));
+                break;
+            }
+            self.jobs.remove(&id);
+            self.dirty.remove(&id);
+            for key in [job_key(&id), state_key(&id)] {
+                self.out.rows.push(Row {
+                    key,
+                    value: Vec::new(),
+                });
+            }
+        }
+    }
+
+    /// Replies to a caller; what promises something waits for the rows of this step and before.
+    pub(super) fn reply(&mut self, call: u64, reply: Reply) {
+        let promises = matches!(reply, Reply::Accepted | Reply::Cancelled | Reply::Gone);
+        let effect = Effect::Reply { call, reply };
+        if promises {
+            self.out.gated.push(effect);
+        } else {
+            self.out.free.push(effect);
+        }
+    }
+
+    /// Whether a configuration is known.
+    pub fn is_ready(&self) -> bool {
+        self.config.is_some()
+    }
+}
+
+/// Names a run.
+pub(super) fn run_id(job: &Name, place: Place, number: u32) -> RunId {
+    RunId {
+        task: TaskId {
+            job: job.clone(),
+            turn: place.turn,
+            step: place.step,
+            index: place.index,
+        },
+        number,
+    }
+}
+
+/// Returns where a task is in its job.
+pub(super) fn place_of(task: &TaskId) -> Place {
+    Place {
+        turn: task.turn,
+        step: task.step,
+        index: task.index,
+    }
+}
--- /dev/null
+++ b/src/fleet/settings.rs
@@ -0,0 +1,154 @@
+//! The settings of a VM's process: JSON with comments, checked whole.
+
+use super::timing::Timing;
+use crate::configs::file;
+use crate::configs::source::Source;
+use crate::fields::Fields;
+use crate::prelude::*;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The result of loading.
+pub type Result<T> = std::result::Result<T, Findings>;
+
+/// The settings of a process.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// The name of this VM.
+    pub vm: Name,
+    /// Its data centre.
+    pub centre: Name,
+    /// Its share of a processor, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it takes calls.
+    pub ready: SocketAddr,
+    /// Where other VMs reach it.
+    pub peers: SocketAddr,
+    /// Where metrics are read, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// The address of the store.
+    pub store: Name,
+    /// The time from the order to stop until the process is ended by force, in milliseconds.
+    pub grace_ms: u64,
+    /// The age of the configuration from which on calls with a key are refused, in milliseconds;
+    /// 0 for no limit.
+    pub config_age_ms: u64,
+    /// The bounds of scheduling.
+    pub timing: Timing,
+}
+
+/// Loads the settings in `path`.
+///
+/// # Errors
+///
+/// Every finding, each with `file:line:column` and the JSON pointer of the key.
+pub fn load(path: impl AsRef<Path>) -> Result<Settings> {
+    let path = path.as_ref();
+    let text = file::read(path)?;
+    parse(&path.display().to_string(), &text)
+}
+
+/// Parses settings that were read from `file`.
+///
+/// # Errors
+///
+/// As [`load`].
+pub fn parse(file: &str, text: &str) -> Result<Settings> {
+    let source = Source::parse(file, text)?;
+    check(&source.value()).map_err(|findings| source.locate(findings))
+}
+
+fn check(value: &Value) -> Result<Settings> {
+    let mut findings = Findings::default();
+    let Some(mut fields) = Fields::open(value, "", &mut findings) else {
+        return Err(findings);
+    };
+    let strict = fields.flag_or("strict_revocation", true, &mut findings);
+    let revoke_ms = fields.number_or("revoke_ms", 5_000, 1..=MAX_MS, &mut findings);
+    let settings = Settings {
+        vm: fields.name("vm", &mut findings),
+        centre: fields.name("centre", &mut findings),
+        cpu_milli: thousandths(&mut fields, "cpu_share", 1_000, &mut findings),
+        callers: address(&mut fields, "callers", &mut findings),
+        ready: address(&mut fields, "ready", &mut findings),
+        peers: address(&mut fields, "peers", &mut findings),
+        metrics: metrics(&mut fields, &mut findings),
+        store: address(&mut fields, "store", &mut findings)
+            .to_string()
+            .into(),
+        grace_ms: thousandths(&mut fields, "grace_s", 6_000, &mut findings),
+        // The rest of the bound is for the way of a revocation and for calls under way.
+        config_age_ms: if strict { revoke_ms * 3 / 5 } else { 0 },
+        timing: Timing {
+            max_lease_ms: fields.number_or("max_lease_ms", 6_000, 500..=MAX_MS, &mut findings),
+            gang_wait_ms: fields.number_or("gang_wait_ms", 3_000, 100..=MAX_MS, &mut findings),
+            stop_ms: fields.number_or("stop_ms", 200, 0..=MAX_MS, &mut findings),
+            keep_ms: thousandths(&mut fields, "keep_s", 120_000, &mut findings),
+            far_factor: seconds(&mut fields, "far_factor", 3.0, &mut findings),
+            save_ms: thousandths(&mut fields, "save_s", 2_000, &mut findings),
+            restore_ms: fields.number_or("restore_ms", 600, 0..=MAX_MS, &mut findings),
+            reclaim_ms: fields.number_or("reclaim_ms", 2_700, 0..=MAX_MS, &mut findings),
+        },
+    };
+    fields.finish(&mut findings);
+    if findings.is_empty() {
+        Ok(settings)
+    } else {
+        Err(findings)
+    }
+}
+
+/// The longest duration that a setting may give, in milliseconds: a day.
+const MAX_MS: u64 = 86_400_000;
+
+fn metrics(fields: &mut Fields<'_>, findings: &mut Findings) -> Option<SocketAddr> {
+    let given = fields.raw("metrics").is_some();
+    given.then(|| address(fields, "metrics", findings))
+}
+
+fn address(fields: &mut Fields<'_>, key: &'static str, findings: &mut Findings) -> SocketAddr {
+    let text = fields.text(key, findings);
+    text.parse().unwrap_or_else(|_| {
+        findings.add(fields.place(key), "must be IP:PORT");
+        SocketAddr::from(([0, 0, 0, 0], 0))
+    })
+}
+
+/// Reads a number that may carry a fraction.
+fn seconds(
+    fields: &mut Fields<'_>,
+    key: &'static str,
+    default: f64,
+    findings: &mut Findings,
+) -> f64 {
+    let Some(value) = fields.raw(key) else {
+        return default;
+    };
+    match value
+        .as_f64()
+        .filter(|number| (0.0..=86_400.0).contains(number))
+    {
+        Some(number) => number,
+        None => {
+            findings.add(fields.place(key), "must be a number from 0 to 86400");
+            default
+        }
+    }
+}
+
+/// Reads a number and returns its thousandths.
+fn thousandths(
+    fields: &mut Fields<'_>,
+    key: &'static str,
+    default: u64,
+    findings: &mut Findings,
+) -> u64 {
+    let number = seconds(fields, key, -1.0, findings);
+    let time = std::time::Duration::try_from_secs_f64(number);
+    time.map_or(default, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(default)
+    })
+}
--- /dev/null
+++ b/src/fleet/timing.rs
@@ -0,0 +1,67 @@
+//! The figures that the scheduler's decisions use.
+
+/// Bounds of the deployment, all but the factor in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Timing {
+    /// The longest lease that an upstream grants.
+    pub max_lease_ms: u64,
+    /// How long a gang's members wait for each other.
+    pub gang_wait_ms: u64,
+    /// How long a stop takes at most.
+    pub stop_ms: u64,
+    /// How long a closed job can be asked for.
+    pub keep_ms: u64,
+    /// How many times as long a task takes away from its data or its gang's rack.
+    pub far_factor: f64,
+    /// How often a task that saves its progress does so.
+    pub save_ms: u64,
+    /// How long a resumed task takes before it works on.
+    pub restore_ms: u64,
+    /// How long after its acknowledgement guaranteed work must have begun.
+    pub reclaim_ms: u64,
+}
+
+impl Timing {
+    /// The lease that orders carry: long enough for an outage of the leading VM, short enough
+    /// that the work of a dead upstream soon starts elsewhere.
+    pub fn lease_ms(&self) -> u64 {
+        self.max_lease_ms
+            .saturating_sub(LEASE_SLACK_MS)
+            .min(LEASE_MS)
+    }
+
+    /// How long an upstream may wait for an end before it answers a renewal.
+    pub fn wait_ms(&self) -> u64 {
+        (self.lease_ms() / 3).min(MAX_WAIT_MS)
+    }
+
+    /// The own time that `ms` of an upstream's clock take at the most.
+    pub fn slowest(ms: u64) -> u64 {
+        ms + ms.div_ceil(CLOCK_SLOW_PART) + LEASE_SLACK_MS
+    }
+}
+
+/// The lease of an order, in milliseconds: a new leader holds all upstreams within 3 s of the
+/// loss of the last one.
+const LEASE_MS: u64 = 4_500;
+/// The longest wait that upstreams accept, in milliseconds.
+const MAX_WAIT_MS: u64 = 2_000;
+/// Covers the way of an order and late timers, in milliseconds.
+const LEASE_SLACK_MS: u64 = 200;
+/// An upstream's clock is slow by at most one part in so many (2% is promised).
+const CLOCK_SLOW_PART: u64 = 45;
+
+/// How often an unanswered start is sent again before it is barred.
+pub(super) const START_TRIES: u32 = 3;
+/// The wait before a silent upstream is asked again, in milliseconds.
+pub(super) const RETRY_MS: u64 = 150;
+/// Unanswered renewals in a row after which no more are granted.
+pub(super) const MISSES_SUSPECT: u32 = 2;
+/// How long an upstream that declined an order gets no other, in milliseconds.
+pub(super) const DECLINED_MS: u64 = 600;
+/// How long an upstream that fails what it starts gets nothing, in milliseconds; doubled each time.
+pub(super) const QUARANTINE_MS: u64 = 4_000;
+/// Failures of different jobs in a row that put an upstream in quarantine.
+pub(super) const FAILS_SUSPECT: u32 = 2;
+/// The wait before an upstream that should have listed an end is looked at again, in milliseconds.
+pub(super) const LOOK_MS: u64 = 300;
--- /dev/null
+++ b/src/fleet/upstream.rs
@@ -0,0 +1,231 @@
+//! What the scheduler knows of one upstream.
+
+use super::event::Reading;
+use super::model::Listing;
+use super::model::Need;
+use super::model::RunId;
+use super::timing::MISSES_SUSPECT;
+use super::timing::Timing;
+use crate::prelude::*;
+use std::collections::HashMap;
+
+/// The wait between two renewals while ends wait for the store, in milliseconds: well below the
+/// lease.
+const UNSTORED_MS: u64 = 1_000;
+/// The shortest time between two reports of one upstream, in milliseconds.
+const LOOK_GAP_MS: u64 = 60;
+
+/// What is to be done about an upstream's lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Renewal {
+    /// Nothing now.
+    None,
+    /// Forget the upstream.
+    Drop,
+    /// Renew it.
+    Send { until_ms: u64, wait_ms: u64 },
+}
+
+/// One upstream.
+#[derive(Debug, Clone)]
+pub(super) struct Upstream {
+    /// What discovery says of it.
+    pub(super) listing: Listing,
+    /// Its rack.
+    pub(super) rack: Name,
+    /// Whether discovery has it.
+    pub(super) listed: bool,
+    /// What its live runs take.
+    pub(super) used: Need,
+    /// Its live runs.
+    pub(super) runs: HashMap<RunId, Need>,
+    /// Its clock.
+    pub(super) clock: Reading,
+    /// The own time at which every lease that was asked for has surely expired.
+    pub(super) lease_end: u64,
+    /// Renewals on their way.
+    pub(super) holds: u32,
+    /// When the last renewal was sent, own time.
+    pub(super) held_at: u64,
+    /// Unanswered renewals in a row.
+    pub(super) misses: u32,
+    /// Whether a report is wanted before the renewal under way returns.
+    pub(super) look: bool,
+    /// When a silent upstream is asked again, own time.
+    pub(super) retry_at: u64,
+    /// The last end that is stored.
+    pub(super) seen: u64,
+    /// The last end that was handled.
+    pub(super) handled: u64,
+    /// The last end that the renewal under way acknowledges.
+    pub(super) asked: u64,
+    /// The last end whose acknowledgement it has answered.
+    pub(super) told: u64,
+    /// Until when it gets no new work, own time.
+    pub(super) shut_until: u64,
+    /// Jobs that failed here in a row.
+    pub(super) failed: Vec<Name>,
+    /// How often it was put in quarantine.
+    pub(super) quarantines: u32,
+}
+
+impl Upstream {
+    /// Makes an upstream from its entry, read at `now`.
+    pub(super) fn new(listing: Listing, now: u64) -> Self {
+        Self {
+            rack: listing.rack(),
+            clock: Reading {
+                clock_ms: listing.clock_ms,
+                at: now,
+            },
+            listing,
+            listed: true,
+            used: Need::default(),
+            runs: HashMap::new(),
+            lease_end: 0,
+            holds: 0,
+            held_at: 0,
+            misses: 0,
+            look: false,
+            retry_at: 0,
+            asked: 0,
+            told: 0,
+            seen: 0,
+            handled: 0,
+            shut_until: 0,
+            failed: Vec::new(),
+            quarantines: 0,
+        }
+    }
+
+    /// Makes a stand-in for an upstream that only the store's rows name; no lease asked for by
+    /// another VM outlives `lease_end`.
+    pub(super) fn unlisted(id: &Name, now: u64, lease_end: u64) -> Self {
+        let listing = Listing {
+            id: id.clone(),
+            addr: "".into(),
+            service: "".into(),
+            born: 0,
+            room: Need::default(),
+            labels: Vec::new(),
+            clock_ms: 0,
+            ready: false,
+        };
+        Self {
+            listed: false,
+            lease_end,
+            ..Self::new(listing, now)
+        }
+    }
+
+    /// Takes a newer reading of its clock.
+    pub(super) fn read_clock(&mut self, reading: Option<Reading>) {
+        if let Some(reading) = reading.filter(|reading| reading.at >= self.clock.at) {
+            self.clock = reading;
+        }
+    }
+
+    /// Returns a lease that ends `lease_ms` from now on its clock, and remembers when it has
+    /// surely expired.
+    pub(super) fn grant(&mut self, now: u64, lease_ms: u64) -> u64 {
+        let passed = now.saturating_sub(self.clock.at);
+        let until = self.clock.clock_ms + passed + lease_ms;
+        let end = self.clock.at + Timing::slowest(passed + lease_ms);
+        self.lease_end = self.lease_end.max(end);
+        until
+    }
+
+    /// Tells whether it takes new work now.
+    pub(super) fn is_open(&self, now: u64) -> bool {
+        self.listed && self.listing.ready && self.misses == 0 && now >= self.shut_until
+    }
+
+    /// Tells whether renewals go unanswered.
+    pub(super) fn is_silent(&self) -> bool {
+        self.misses >= MISSES_SUSPECT
+    }
+
+    /// Returns the room that its live runs leave.
+    pub(super) fn free(&self) -> Need {
+        let mut free = self.listing.room;
+        free.sub(&self.used);
+        free
+    }
+
+    /// Counts a run.
+    pub(super) fn take(&mut self, run: RunId, need: Need) {
+        if self.runs.insert(run, need).is_none() {
+            self.used.add(&need);
+        }
+    }
+
+    /// Gives back what a run took.
+    pub(super) fn release(&mut self, run: &RunId) {
+        if let Some(need) = self.runs.remove(run) {
+            self.used.sub(&need);
+        }
+    }
+
+    /// Decides on the next renewal.
+    pub(super) fn renewal(&mut self, now: u64, timing: &Timing) -> Renewal {
+        let busy = !self.runs.is_empty();
+        let asks = busy || self.told < self.handled || self.listed && self.misses > 0;
+        if !asks || !busy && !self.listed && self.is_silent() {
+            let done = !self.listed && self.holds == 0;
+            return if done { Renewal::Drop } else { Renewal::None };
+        }
+        if self.listing.addr.is_empty() {
+            return Renewal::None;
+        }
+        let unstored = self.seen < self.handled;
+        let due = match self.holds {
+            0 if self.misses > 0 => self.retry_at <= now,
+            0 => !unstored || self.held_at + UNSTORED_MS <= now,
+            1 => self.look && self.held_at + LOOK_GAP_MS <= now,
+            _ => false,
+        };
+        if !due {
+            return Renewal::None;
+        }
+        let patient = self.holds == 0 && self.misses == 0 && busy && !unstored;
+        let until_ms = if self.is_silent() || !busy {
+            0
+        } else {
+            self.grant(now, timing.lease_ms())
+        };
+        self.holds += 1;
+        self.held_at = now;
+        self.asked = self.seen;
+        self.look = false;
+        Renewal::Send {
+            until_ms,
+            wait_ms: if patient { timing.wait_ms() } else { 0 },
+        }
+    }
+
+    /// Notes that the renewal sent at `sent` was answered.
+    pub(super) fn told(&mut self, sent: u64) {
+        if sent >= self.held_at {
+            self.told = self.told.max(self.asked);
+        }
+    }
+
+    /// Forgets what was counted in an earlier life.
+    pub(super) fn reborn(&mut self) {
+        self.seen = 0;
+        self.handled = 0;
+        self.asked = 0;
+        self.told = 0;
+    }
+
+    /// Takes no new work until a report has shown its clock again.
+    pub(super) fn doubt(&mut self, now: u64) {
+        self.misses = self.misses.max(1);
+        self.retry_at = now;
+    }
+
+    /// Shuts it for new work until `until`.
+    pub(super) fn shut(&mut self, until: u64) {
+        self.shut_until = self.shut_until.max(until);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod fields;
 pub mod findings;
+pub mod fleet;
 pub mod model;
 pub mod modules;
 pub mod platform;
--- a/src/modules/http.rs
+++ b/src/modules/http.rs
@@ -1,5 +1,7 @@
 //! A small HTTP client for JSON calls with a deadline.
 
+use crate::prelude::*;
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -19,6 +21,8 @@
 const CONNECT_MS: u64 = 1_000;
 /// The time after which an idle connection is closed, in milliseconds.
 const IDLE_MS: u64 = 10_000;
+/// Idle connections kept to one server.
+const MAX_IDLE: usize = 2;
 
 /// Why a call failed.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
@@ -41,21 +45,62 @@
 /// A client that keeps idle connections for a while.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pooled: Pooled<HttpConnector, Full<Bytes>>,
+    pooled: Arc<ArcSwap<Pooled<HttpConnector, Full<Bytes>>>>,
     call_ms: u64,
 }
 
+/// A request with a deadline of its own.
+#[derive(Debug, Clone, Default)]
+pub struct Outgoing<'a> {
+    /// The method.
+    pub method: Method,
+    /// The server's address.
+    pub addr: &'a str,
+    /// The path with the query.
+    pub path: &'a str,
+    /// Headers beside the content type.
+    pub headers: &'a [(&'a str, &'a str)],
+    /// The body.
+    pub body: Bytes,
+    /// How long it may take in all, in milliseconds.
+    pub limit_ms: u64,
+}
+
+/// A whole response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Incoming {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: Bytes,
+}
+
 impl Client {
     /// Makes a client whose calls take at most `call_ms` milliseconds.
     pub fn new(call_ms: u64) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_MS)));
-        connector.set_nodelay(true);
-        let pooled = Pooled::builder(TokioExecutor::new())
-            .pool_idle_timeout(Duration::from_millis(IDLE_MS))
-            .pool_max_idle_per_host(2)
-            .build(connector);
-        Self { pooled, call_ms }
+        Self {
+            pooled: Arc::new(ArcSwap::from_pointee(pooled())),
+            call_ms,
+        }
+    }
+
+    /// Sends a request and returns the response whatever its status.
+    ///
+    /// All idle connections are closed after a response that did not come in time: more of them
+    /// may have gone silent.
+    ///
+    /// # Errors
+    ///
+    /// A late or broken response.
+    pub async fn send(&self, outgoing: Outgoing<'_>) -> Result<Incoming> {
+        let limit = Duration::from_millis(outgoing.limit_ms);
+        match tokio::time::timeout(limit, self.exchange(outgoing)).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.pooled.store(Arc::new(pooled()));
+                Err(Error::Late)
+            }
+        }
     }
 
     /// Reads JSON from `path` at `addr`, waiting up to `extra_ms` longer than usual.
@@ -110,33 +155,51 @@
         body: Bytes,
         extra_ms: u64,
     ) -> Result<Bytes> {
-        let limit = Duration::from_millis(self.call_ms + extra_ms);
-        let call = self.exchange(method, addr, path, body);
-        match tokio::time::timeout(limit, call).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::Late),
+        let outgoing = Outgoing {
+            method,
+            addr,
+            path,
+            headers: &[],
+            body,
+            limit_ms: self.call_ms + extra_ms,
+        };
+        let incoming = self.send(outgoing).await?;
+        if incoming.status != 200 {
+            let text = &incoming.body[..incoming.body.len().min(512)];
+            let text = String::from_utf8_lossy(text).into_owned();
+            return Err(Error::Status(incoming.status, text));
         }
+        Ok(incoming.body)
     }
 
-    async fn exchange(&self, method: Method, addr: &str, path: &str, body: Bytes) -> Result<Bytes> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{addr}{path}"))
-            .header("content-type", "application/json")
-            .body(Full::new(body))
-            .map_err(broken)?;
-        let answer = self.pooled.request(request).await.map_err(broken)?;
+    async fn exchange(&self, outgoing: Outgoing<'_>) -> Result<Incoming> {
+        let mut request = Request::builder()
+            .method(outgoing.method)
+            .uri(format!("http://{}{}", outgoing.addr, outgoing.path))
+            .header("content-type", "application/json");
+        for (name, value) in outgoing.headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(outgoing.body)).map_err(broken)?;
+        let pooled = self.pooled.load_full();
+        let answer = pooled.request(request).await.map_err(broken)?;
         let status = answer.status().as_u16();
         let limited = Limited::new(answer.into_body(), ANSWER_MAX_BYTES);
-        let whole = limited.collect().await.map_err(broken)?.to_bytes();
-        if status != 200 {
-            let text = String::from_utf8_lossy(&whole[..whole.len().min(512)]).into_owned();
-            return Err(Error::Status(status, text));
-        }
-        Ok(whole)
+        let body = limited.collect().await.map_err(broken)?.to_bytes();
+        Ok(Incoming { status, body })
     }
 }
 
+fn pooled() -> Pooled<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_MS)));
+    connector.set_nodelay(true);
+    Pooled::builder(TokioExecutor::new())
+        .pool_idle_timeout(Duration::from_millis(IDLE_MS))
+        .pool_max_idle_per_host(MAX_IDLE)
+        .build(connector)
+}
+
 fn broken(error: impl std::fmt::Display) -> Error {
     Error::Broken(error.to_string())
 }
