fix(fleet): show a job as closed only once it is stored, and answer by no stale configuration

The leader lost the store at 2.5 s, saw a job's last task end at 3.05 s and told a caller that the job was completed; the end was never stored, and the next leader ran the task again. RECLAIM: urgent work beyond one workspace's guarantee was never stopped for work within another's, and freed room that others took was waited for until its time was over.

Ruled out for TWICE: the acknowledgement of ends (the reports sent carried 0 as the last end stored), appends without rows counting in the sequence (tried: the store then asks for the number before).

Change: a closed job is shown as it was until the store has it closed; calls are answered by a configuration only while it was read within 0.6 of the bound, a known job's state and cancellation within that of revocation; urgent jobs within a guarantee, oldest first, may stop urgent jobs beyond one and go far from their data after a quarter of the bound; lost room is sought again at once. A new leader asks upstreams for an immediate report (a test found that it waited 1.5 s).

--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -131,6 +131,7 @@
             arrived: now,
             wall_ms,
             closed: None,
+            sealed: false,
             turns: BTreeMap::new(),
             next_turn: 0,
             begun: false,
--- a/src/fleet/effect.rs
+++ b/src/fleet/effect.rs
@@ -59,6 +59,11 @@
         /// The last end.
         number: u64,
     },
+    /// Tell the scheduler, once all before is stored, that the store has the job as closed.
+    Sealed {
+        /// The job.
+        job: Name,
+    },
     /// Give up the lead: a higher token is in use.
     Resign {
         /// The reason.
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -232,6 +232,6 @@
         /// The last end.
         number: u64,
     },
-    /// Time passes.
-    Tick,
+    /// The store has a job as closed.
+    Sealed(Name),
 }
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -33,10 +33,10 @@
 /// The time between two looks at what is due, in milliseconds.
 const TICK_MS: u64 = 50;
 /// The time without an append after which the lead is confirmed by an empty one, in milliseconds.
-const PROVE_MS: u64 = 1_000;
+const PROVE_MS: u64 = 700;
 /// The age of the last confirmation up to which a VM says what does not exist, in milliseconds:
 /// the wait for a confirmation, and as much again for a slow store.
-const FRESH_MS: u64 = 2_500;
+const FRESH_MS: u64 = 2_000;
 /// The age of the last confirmation from which on no order is sent, in milliseconds: longer than
 /// the outages of the store that are to be borne without loss of work.
 pub(super) const ORDERS_MS: u64 = 12_000;
@@ -254,10 +254,17 @@
 
     /// Declines a call that this VM cannot answer truthfully now.
     fn decline(&self, what: &Call, stalled: bool) -> Option<Reply> {
+        let old = age(&self.gauges.config_at);
         let limit = self.parts.config_age_ms;
-        let old = limit > 0 && !what.key.is_empty() && age(&self.gauges.config_at) > limit;
+        let revocable = limit > 0 && !what.key.is_empty() && old > limit;
+        // A known job's state and its cancellation depend on the key alone.
+        let routed = old > self.parts.config_fresh_ms
+            && match &what.ask {
+                Ask::State | Ask::Cancel => !self.scheduler.knows(&what.path),
+                Ask::Submit(_) | Ask::Garbled(_) => true,
+            };
         let submits = matches!(what.ask, Ask::Submit(_));
-        (old || submits && stalled).then_some(Reply::Unavailable {
+        (revocable || routed || submits && stalled).then_some(Reply::Unavailable {
             wait_ms: STALLED_WAIT_MS,
         })
     }
@@ -321,7 +328,11 @@
             token: self.epoch,
         };
         let late = age(&self.gauges.proven_at) > ORDERS_MS;
-        if late && !matches!(effect, Effect::Reply { .. } | Effect::Noted { .. }) {
+        let orders = matches!(
+            effect,
+            Effect::Start { .. } | Effect::Stop { .. } | Effect::Hold { .. }
+        );
+        if late && orders {
             let silence = age(&self.gauges.proven_at);
             self.resigned = Some(format!(
                 "the store has not confirmed the lead for {silence} ms"
@@ -335,6 +346,7 @@
             Effect::Noted { at, number } => {
                 self.scheduler.step(boot_ms(), Event::Noted { at, number });
             }
+            Effect::Sealed { job } => self.scheduler.step(boot_ms(), Event::Sealed(job)),
             Effect::Resign { why } => self.resigned = Some(why),
             Effect::Start {
                 at,
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -44,6 +44,8 @@
     /// The age of the configuration from which on calls with a key are refused, in milliseconds;
     /// 0 for no limit.
     pub config_age_ms: u64,
+    /// The age of the configuration from which on no call is answered by it, in milliseconds.
+    pub config_fresh_ms: u64,
     /// A number that no other start of any VM has.
     pub boot: u64,
     /// How long this VM waits before it claims a vacant lead, in milliseconds: VMs with more
--- a/src/fleet/host/watch.rs
+++ b/src/fleet/host/watch.rs
@@ -13,7 +13,7 @@
 
 /// How long the store may wait for a configuration, in milliseconds: several times within the
 /// time in which one must be in force.
-const CONFIG_WAIT_MS: u64 = 500;
+const CONFIG_WAIT_MS: u64 = 250;
 /// The time between two looks at discovery, in milliseconds: a third of the time in which an
 /// upstream that leaves must get no more work.
 const LOOK_MS: u64 = 600;
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -7,6 +7,7 @@
 use super::model::Config;
 use super::model::Need;
 use super::model::Queue;
+use super::model::Spec;
 use super::model::Step;
 use super::place;
 use super::place::Spot;
@@ -21,14 +22,17 @@
 use super::victims::Victim;
 use crate::prelude::*;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 /// How long freed room is kept for the gang that it was freed for, beyond the stop, in
 /// milliseconds: the end of a stop is listed and stored within this.
-const KEEP_MS: u64 = 1_500;
+const KEEP_MS: u64 = 1_000;
 /// The share of the accelerators in use below which waiting work goes far from its data soon.
 const IDLE_SHARE: f64 = 0.5;
 /// The wait after which work goes far from its data while the service is idle, in milliseconds.
 const FAR_IDLE_MS: u64 = 1_000;
+/// The part of the bound on guaranteed work after which it is placed far from its data.
+const FAR_PART: u64 = 4;
 /// Late work goes after all that can be in time; the offset of its rank.
 const LATE_RANK: u32 = 1_000;
 
@@ -44,6 +48,8 @@
     queue: Arc<Queue>,
     since: u64,
     predicted: u64,
+    /// Whether it is urgent work within its workspace's guarantee.
+    entitled: bool,
 }
 
 /// What the planner works on.
@@ -57,6 +63,39 @@
     busy_share: f64,
 }
 
+impl Board {
+    /// Tells whether one task of `need` for each entry of `spots` fits, with or without what
+    /// stops under way give back.
+    fn holds(&self, spots: &[usize], need: &Need, ending: bool) -> bool {
+        let mut wanted: HashMap<usize, Need> = HashMap::new();
+        for &at in spots {
+            wanted.entry(at).or_default().add(need);
+        }
+        wanted.iter().all(|(at, wanted)| {
+            let spot = &self.spots[*at];
+            let mut room = spot.free;
+            if let Some(more) = self.ending.get(at).filter(|_| ending) {
+                room.add(more);
+            }
+            spot.open && wanted.fits(&room)
+        })
+    }
+
+    /// Takes room for one task of `need` for each entry of `spots`: what is free, then what stops
+    /// under way give back.
+    fn reserve(&mut self, spots: &[usize], need: &Need) {
+        for &at in spots {
+            let spot = &mut self.spots[at];
+            let mut beyond = *need;
+            beyond.sub(&spot.free);
+            spot.free.sub(need);
+            if let Some(ending) = self.ending.get_mut(&at) {
+                ending.sub(&beyond);
+            }
+        }
+    }
+}
+
 impl Scheduler {
     /// Places what waits.
     pub(super) fn plan(&mut self, now: u64) {
@@ -74,7 +113,38 @@
         }
     }
 
+    /// Returns the urgent jobs that lie within the guarantees of their workspaces, oldest first.
+    pub(super) fn entitled(&self, config: &Config) -> HashSet<Name> {
+        let mut urgent: Vec<&Job> = self
+            .open
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter(|job| {
+                config
+                    .queue(&job.queue)
+                    .is_some_and(|queue| queue.priority == 0)
+            })
+            .collect();
+        urgent.sort_by_key(|job| job.arrived);
+        let guarantees: HashMap<&Name, u64> = config
+            .keys
+            .values()
+            .map(|workspace| (&workspace.name, workspace.guaranteed))
+            .collect();
+        let mut taken: HashMap<&Name, u64> = HashMap::new();
+        let mut found = HashSet::new();
+        for job in urgent {
+            let taken = taken.entry(&job.workspace).or_default();
+            *taken += accelerators(&job.spec);
+            if *taken <= guarantees.get(&job.workspace).copied().unwrap_or(0) {
+                found.insert(job.id.clone());
+            }
+        }
+        found
+    }
+
     fn waiting_steps(&mut self, now: u64, config: &Config) -> Vec<Waiting> {
+        let entitled = self.entitled(config);
         let mut found = Vec::new();
         let mut idle = Vec::new();
         for id in &self.pending {
@@ -105,9 +175,11 @@
                     }
                     let predicted = self.durations.predict(&job.queue, step);
                     let late = now + predicted > objective;
+                    let entitled = queue.priority == 0 && entitled.contains(id);
                     let rank = match (queue.priority, late) {
-                        (0, _) => 0,
-                        (priority, false) => priority,
+                        (0, _) if entitled => 0,
+                        (priority, false) => priority + 1,
+                        (0, true) => 1,
                         (priority, true) => LATE_RANK + priority,
                     };
                     found.push(Waiting {
@@ -119,6 +191,7 @@
                         queue: queue.clone(),
                         since,
                         predicted,
+                        entitled,
                     });
                 }
             }
@@ -208,6 +281,7 @@
     }
 
     fn place_singles(&mut self, now: u64, board: &mut Board, wait: &Waiting, wish: &Wish<'_>) {
+        let mut placed = 0;
         for &index in &wait.tasks {
             let place = Place {
                 turn: wait.turn,
@@ -223,9 +297,20 @@
             let spot = place::single(&board.spots, &first, load)
                 .or_else(|| place::single(&board.spots, wish, load));
             let Some(spot) = spot else {
-                return;
+                break;
             };
             self.start(now, board, wait, &[(index, spot)]);
+            placed += 1;
+        }
+        if placed > 0 {
+            log::info!(
+                "job={} turn={} step={} placed={placed} of={} waited_ms={}",
+                wait.job,
+                wait.turn,
+                wait.step,
+                wait.tasks.len(),
+                now.saturating_sub(wait.since)
+            );
         }
     }
 
@@ -237,21 +322,17 @@
                 .iter()
                 .filter_map(|name| board.index.get(name).copied())
                 .collect();
-            let mut trial = board.spots.clone();
-            let whole = spots.len() == kept.len()
-                && spots.iter().all(|&at| {
-                    let fits = trial[at].open && need.fits(&trial[at].free);
-                    trial[at].free.sub(&need);
-                    fits
-                });
-            if whole {
+            let whole = spots.len() == kept.len();
+            if whole && board.holds(&spots, &need, false) {
                 self.start_gang(now, board, wait, &spots);
-            } else {
-                for at in spots {
-                    board.spots[at].free.sub(&need);
-                }
+                return;
             }
-            return;
+            if whole && board.holds(&spots, &need, true) {
+                board.reserve(&spots, &need);
+                return;
+            }
+            // The room went to others, or an upstream shut: look for other victims now.
+            self.keep(wait, None);
         }
         let shuns = self.shuns(wait);
         let first = Wish {
@@ -264,8 +345,19 @@
             self.start_gang(now, board, wait, &spots);
             return;
         }
-        if wait.queue.priority == 0 {
-            self.preempt(now, board, wait, wish, count);
+        if wait.queue.priority != 0 || self.preempt(now, board, wait, wish, count) {
+            return;
+        }
+        // A guarantee is kept even if only a place far from the data or on several racks is left.
+        let waited = now.saturating_sub(wait.since);
+        if wait.entitled && !wish.far && waited > self.timing.reclaim_ms / FAR_PART {
+            let far = Wish { far: true, ..*wish };
+            match place::gang(&board.spots, &far, count) {
+                Some(spots) => self.start_gang(now, board, wait, &spots),
+                None => {
+                    self.preempt(now, board, wait, &far, count);
+                }
+            }
         }
     }
 
@@ -282,6 +374,17 @@
         stretch.kept.as_ref().map(|(names, _)| names.clone())
     }
 
+    fn keep(&mut self, wait: &Waiting, kept: Option<(Vec<Name>, u64)>) {
+        if let Some(stretch) = self
+            .jobs
+            .get_mut(&wait.job)
+            .and_then(|job| job.turns.get_mut(&wait.turn))
+            .and_then(|turn| turn.steps.get_mut(wait.step as usize))
+        {
+            stretch.kept = kept;
+        }
+    }
+
     fn shuns(&self, wait: &Waiting) -> Vec<Name> {
         let tasks = self
             .jobs
@@ -300,15 +403,16 @@
         wait: &Waiting,
         wish: &Wish<'_>,
         count: u32,
-    ) {
+    ) -> bool {
         let all = match board.victims.take() {
             Some(all) => all,
             None => self.victims(now, board),
         };
-        let found = victims::find(&board.spots, &board.ending, &all, wish, count);
+        let find = |urgent| victims::find(&board.spots, &board.ending, &all, wish, count, urgent);
+        let found = find(false).or_else(|| wait.entitled.then(|| find(true)).flatten());
         let Some(found) = found else {
             board.victims = Some(all);
-            return;
+            return false;
         };
         let names: Vec<Name> = found
             .spots
@@ -337,17 +441,8 @@
             }
             self.stop_step(now, &victim.job, victim.place);
         }
-        for &at in &found.spots {
-            // What is not free yet comes out of the stops under way.
-            let spot = &mut board.spots[at];
-            let mut beyond = need;
-            beyond.sub(&spot.free);
-            spot.free.sub(&need);
-            if let Some(ending) = board.ending.get_mut(&at) {
-                ending.sub(&beyond);
-            }
-        }
-        let chosen: std::collections::HashSet<usize> = found.victims.into_iter().collect();
+        board.reserve(&found.spots, &need);
+        let chosen: HashSet<usize> = found.victims.into_iter().collect();
         board.victims = Some(
             all.into_iter()
                 .enumerate()
@@ -356,21 +451,17 @@
                 .collect(),
         );
         let until = now + self.timing.stop_ms + KEEP_MS;
-        if let Some(stretch) = self
-            .jobs
-            .get_mut(&wait.job)
-            .and_then(|job| job.turns.get_mut(&wait.turn))
-            .and_then(|turn| turn.steps.get_mut(wait.step as usize))
-        {
-            stretch.kept = Some((names, until));
-        }
+        self.keep(wait, Some((names, until)));
+        true
     }
 
-    /// Lists work of lower priority, each gang as one.
+    /// Lists work that may be stopped, each gang as one: of lower priority, or urgent beyond the
+    /// guarantee of its workspace.
     fn victims(&self, now: u64, board: &Board) -> Vec<Victim> {
         let Some(config) = &self.config else {
             return Vec::new();
         };
+        let entitled = self.entitled(config);
         let mut found: HashMap<(Name, u32, u32, Option<u32>), Victim> = HashMap::new();
         for (name, upstream) in &self.upstreams {
             let Some(&at) = board.index.get(name) else {
@@ -387,7 +478,8 @@
                     continue;
                 };
                 let step = &job.spec.steps[place.step as usize];
-                if priority == 0 || step.lasting {
+                let urgent = priority == 0;
+                if urgent && entitled.contains(&job.id) || step.lasting {
                     continue;
                 }
                 let single = (!step.gang).then_some(place.index);
@@ -395,6 +487,7 @@
                 let victim = found.entry(key).or_insert_with(|| Victim {
                     job: run.task.job.clone(),
                     place,
+                    urgent,
                     waste: 0.0,
                     frees: Vec::new(),
                 });
@@ -472,22 +565,18 @@
             }
             runs.push((at, run_id(&wait.job, place(index), number)));
         }
-        if let Some(stretch) = job
-            .turns
-            .get_mut(&wait.turn)
-            .and_then(|turn| turn.steps.get_mut(wait.step as usize))
-        {
-            stretch.kept = None;
+        if pairs.len() > 1 {
+            log::info!(
+                "job={} turn={} step={} run={number} tasks={} placed at={:?} waited_ms={}",
+                wait.job,
+                wait.turn,
+                wait.step,
+                runs.len(),
+                runs.iter().map(|(at, _)| &**at).collect::<Vec<_>>(),
+                now.saturating_sub(wait.since)
+            );
         }
-        log::info!(
-            "job={} turn={} step={} run={number} tasks={} placed at={:?} waited_ms={}",
-            wait.job,
-            wait.turn,
-            wait.step,
-            runs.len(),
-            runs.iter().map(|(at, _)| &**at).collect::<Vec<_>>(),
-            now.saturating_sub(wait.since)
-        );
+        self.keep(wait, None);
         self.dirty.insert(wait.job.clone());
         for (at, run) in runs {
             if let Some(upstream) = self.upstreams.get_mut(&at) {
@@ -498,6 +587,14 @@
     }
 }
 
+/// Returns the accelerators that a job needs at the same time, at the most.
+fn accelerators(spec: &Spec) -> u64 {
+    let each = spec.steps.iter();
+    each.map(|step| step.accelerators * u64::from(step.count))
+        .max()
+        .unwrap_or(0)
+}
+
 /// Returns the tasks of a step that wait: all of a gang, or those without a run.
 fn waiting_tasks(step: &Step, tasks: &[super::task::Task]) -> Vec<u32> {
     let waits = |task: &super::task::Task| !task.done && task.live.is_none();
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -113,6 +113,8 @@
                 .upstreams
                 .entry(live.at.clone())
                 .or_insert_with(|| Upstream::unlisted(&live.at, now, lease_end));
+            // What still runs is to be known at once.
+            upstream.look = true;
             let run = run_id(&job.id, place, live.number);
             let need = job.spec.steps[place.step as usize].need();
             upstream.take(run, need);
@@ -171,7 +173,11 @@
                     upstream.seen = upstream.seen.max(number);
                 }
             }
-            Event::Tick => {}
+            Event::Sealed(id) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.sealed = true;
+                }
+            }
         }
     }
 
@@ -341,6 +347,7 @@
         job.closed = Some((phase, now));
         let live = job.live();
         self.closed.insert((now, id.clone()));
+        self.out.gated.push(Effect::Sealed { job: id.clone() });
         self.open.remove(id);
         self.pending.remove(id);
         self.timed.remove(id);
@@ -392,6 +399,12 @@
         }
     }
 
+    /// Tells whether a path names a job that is known here.
+    pub fn knows(&self, path: &str) -> bool {
+        let id = path.rsplit('/').next().unwrap_or_default();
+        self.jobs.contains_key(id)
+    }
+
     /// Whether a configuration is known.
     pub fn is_ready(&self) -> bool {
         self.config.is_some()
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -36,6 +36,8 @@
     /// The age of the configuration from which on calls with a key are refused, in milliseconds;
     /// 0 for no limit.
     pub config_age_ms: u64,
+    /// The age of the configuration from which on no call is answered by it, in milliseconds.
+    pub config_fresh_ms: u64,
     /// The bounds of scheduling.
     pub timing: Timing,
 }
@@ -68,6 +70,7 @@
     };
     let strict = fields.flag_or("strict_revocation", true, &mut findings);
     let revoke_ms = fields.number_or("revoke_ms", 5_000, 1..=MAX_MS, &mut findings);
+    let apply_ms = fields.number_or("config_apply_ms", 2_000, 1..=MAX_MS, &mut findings);
     let settings = Settings {
         vm: fields.name("vm", &mut findings),
         centre: fields.name("centre", &mut findings),
@@ -82,6 +85,7 @@
         grace_ms: thousandths(&mut fields, "grace_s", 6_000, &mut findings),
         // The rest of the bound is for the way of a revocation and for calls under way.
         config_age_ms: if strict { revoke_ms * 3 / 5 } else { 0 },
+        config_fresh_ms: apply_ms * 3 / 5,
         timing: Timing {
             max_lease_ms: fields.number_or("max_lease_ms", 6_000, 500..=MAX_MS, &mut findings),
             gang_wait_ms: fields.number_or("gang_wait_ms", 3_000, 100..=MAX_MS, &mut findings),
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -139,6 +139,8 @@
     pub(super) wall_ms: u64,
     /// How and when it was closed, own time.
     pub(super) closed: Option<(Phase, u64)>,
+    /// Whether the store has it as closed; until then callers must not be told.
+    pub(super) sealed: bool,
     /// Occurrences that have begun and are not done, or still hold a live run.
     pub(super) turns: BTreeMap<u32, Turn>,
     /// The next occurrence to begin.
@@ -207,9 +209,9 @@
     /// Tells the state that callers see.
     pub(super) fn phase(&self) -> Phase {
         match self.closed {
-            Some((phase, _)) => phase,
-            None if self.begun => Phase::Running,
-            None => Phase::Queued,
+            Some((phase, _)) if self.sealed => phase,
+            _ if self.begun => Phase::Running,
+            _ => Phase::Queued,
         }
     }
 
@@ -267,6 +269,7 @@
             arrived: age(fixed.wall_ms),
             wall_ms: fixed.wall_ms,
             closed: None,
+            sealed: row.closed != 0,
             turns: BTreeMap::new(),
             next_turn: row.next_turn,
             begun: row.begun,
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -187,7 +187,8 @@
         if !due {
             return Renewal::None;
         }
-        let patient = self.holds == 0 && self.misses == 0 && busy && !unstored;
+        let calm = self.holds == 0 && self.misses == 0 && !self.look;
+        let patient = calm && busy && !unstored;
         let until_ms = if self.is_silent() || !busy {
             0
         } else {
--- a/src/fleet/victims.rs
+++ b/src/fleet/victims.rs
@@ -15,6 +15,8 @@
     pub(super) job: Name,
     /// One of its runs; stopping it stops the rest.
     pub(super) place: super::task::Place,
+    /// Whether it is urgent itself, beyond its workspace's guarantee.
+    pub(super) urgent: bool,
     /// What stopping it wastes, in core-seconds.
     pub(super) waste: f64,
     /// What each spot gets back.
@@ -31,17 +33,18 @@
 }
 
 /// Finds the cell in which the least work is wasted to make room for `count` tasks; `ending` is
-/// what each spot gets back by stops under way.
+/// what each spot gets back by stops under way, and `urgent` tells whether urgent work may be stopped.
 pub(super) fn find(
     spots: &[Spot],
     ending: &HashMap<usize, Need>,
     victims: &[Victim],
     wish: &Wish<'_>,
     count: u32,
+    urgent: bool,
 ) -> Option<Eviction> {
     let options = cells(spots, wish).into_iter();
     options
-        .filter_map(|cell| in_cell(spots, ending, victims, wish, count, &cell))
+        .filter_map(|cell| in_cell(spots, ending, victims, wish, count, urgent, &cell))
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, eviction)| eviction)
 }
@@ -52,6 +55,7 @@
     victims: &[Victim],
     wish: &Wish<'_>,
     count: u32,
+    urgent: bool,
     cell: &[usize],
 ) -> Option<(f64, Eviction)> {
     let mut free: HashMap<usize, Need> = HashMap::new();
@@ -68,6 +72,7 @@
     let mut order: Vec<(f64, usize)> = victims
         .iter()
         .enumerate()
+        .filter(|(_, victim)| urgent || !victim.urgent)
         .filter_map(|(index, victim)| {
             let here = victim.frees.iter().filter(|(at, _)| free.contains_key(at));
             let gain: u64 = here.map(|(_, need)| need.accelerators.max(1)).sum();
--- /dev/null
+++ b/tests/fleet/guarantees.rs
@@ -0,0 +1,65 @@
+//! Urgent work within a guarantee begins in time, whatever else runs.
+
+use super::world::World;
+use super::world::gang;
+use super::world::step;
+use super::world::timing;
+use trefoilgauge::fleet::event::Phase;
+
+fn begins(world: &World, id: u64) -> Option<u64> {
+    let job = format!("{id:016x}");
+    let times = world.begun.iter().filter(|b| *b.run.task.job == *job);
+    times.map(|b| b.time).max()
+}
+
+#[test]
+fn urgent_work_stops_work_of_lower_priority() {
+    let mut world = World::new(1, 2);
+    world.work_ms.insert(format!("{:016x}", 1), 20_000);
+    world.submit("batch", "key-b", 1, vec![step(16, 1, 20_000)]);
+    world.pass(1_000);
+    let asked = world.now;
+    world.submit("urgent", "key-a", 2, vec![gang(2, 8, 1_000)]);
+    world.pass(1_000);
+    let begun = begins(&world, 2).unwrap();
+    assert!(begun - asked <= timing().reclaim_ms, "{}", begun - asked);
+    world.pass(25_000);
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+}
+
+#[test]
+fn urgent_work_within_a_guarantee_stops_urgent_work_beyond_one() {
+    let mut world = World::new(1, 4);
+    // Workspace b is guaranteed 16 accelerators and takes all 32.
+    for id in 1..=4 {
+        world.work_ms.insert(format!("{id:016x}"), 20_000);
+        world.submit("urgent", "key-b", id, vec![gang(1, 8, 20_000)]);
+    }
+    world.pass(500);
+    let asked = world.now;
+    world.submit("urgent", "key-a", 5, vec![gang(2, 8, 1_000)]);
+    world.pass(timing().reclaim_ms);
+    let begun = begins(&world, 5).expect("workspace a begins");
+    assert!(begun - asked <= timing().reclaim_ms, "{}", begun - asked);
+}
+
+#[test]
+fn urgent_work_within_a_guarantee_goes_far_if_no_rack_can_be_freed() {
+    let mut world = World::new(2, 2);
+    // One upstream of each rack runs guaranteed work of workspace b.
+    for id in 1..=2 {
+        world.work_ms.insert(format!("{id:016x}"), 20_000);
+        world.submit("urgent", "key-b", id, vec![gang(1, 8, 20_000)]);
+    }
+    world.pass(100);
+    let racks: Vec<String> = world.begun.iter().map(|b| b.at[..3].to_owned()).collect();
+    let asked = world.now;
+    world.submit("urgent", "key-a", 5, vec![gang(2, 8, 1_000)]);
+    world.pass(timing().reclaim_ms);
+    let begun = begins(&world, 5).expect("it begins");
+    assert!(
+        begun - asked <= timing().reclaim_ms,
+        "{racks:?} {}",
+        begun - asked
+    );
+}
--- /dev/null
+++ b/tests/fleet/once.rs
@@ -0,0 +1,125 @@
+//! No task runs twice, and nothing is said that a new leader would take back.
+
+use super::world::Mood;
+use super::world::World;
+use super::world::gang;
+use super::world::step;
+use trefoilgauge::fleet::event::Phase;
+use trefoilgauge::fleet::event::Reply;
+
+#[test]
+fn a_job_is_not_shown_as_completed_before_the_store_has_it_so() {
+    let mut world = World::new(1, 2);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000)]);
+    world.pass(500);
+    world.store_down = true;
+    world.pass(1_000);
+    // The end is known here, but a new leader would not know it.
+    assert_eq!(world.phase("batch", 1), Some(Phase::Running));
+    world.store_up();
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+}
+
+#[test]
+fn an_end_is_acknowledged_only_when_it_is_stored() {
+    let mut world = World::new(1, 1);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000)]);
+    world.pass(500);
+    world.store_down = true;
+    world.pass(3_000);
+    let listed = |world: &World| world.upstreams.values().next().unwrap().ended.len();
+    assert_eq!(listed(&world), 1);
+    world.store_up();
+    world.pass(2_000);
+    assert_eq!(listed(&world), 0);
+}
+
+#[test]
+fn an_end_that_was_not_stored_is_found_again_by_the_next_leader() {
+    let mut world = World::new(1, 2);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000)]);
+    world.pass(500);
+    world.store_down = true;
+    world.pass(1_000);
+    world.store_down = false;
+    world.take_over();
+    world.pass(500);
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+    assert_eq!(world.begun.len(), 1);
+}
+
+#[test]
+fn a_start_is_not_sent_before_it_is_stored() {
+    let mut world = World::new(1, 2);
+    world.store_down = true;
+    let reply = world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000)]);
+    assert_eq!(reply, None);
+    world.pass(500);
+    assert!(world.begun.is_empty());
+    world.store_up();
+    world.pass(10);
+    assert_eq!(world.begun.len(), 1);
+}
+
+#[test]
+fn a_task_of_a_silent_upstream_starts_elsewhere_only_after_its_lease() {
+    let mut world = World::new(1, 2);
+    world.work_ms.insert(format!("{:016x}", 1), 30_000);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000)]);
+    world.pass(1_000);
+    let first = world.begun[0].clone();
+    world.upstreams.get_mut(&first.at).unwrap().mood = Mood::Silent;
+    // The world panics if both runs are at work at the same time.
+    world.pass(8_000);
+    assert_eq!(world.begun.len(), 2);
+    assert_ne!(world.begun[1].at, first.at);
+    assert_eq!(world.begun[1].run.number, 2);
+}
+
+#[test]
+fn a_start_without_a_response_is_sent_again_under_the_same_number() {
+    let mut world = World::new(1, 1);
+    for fake in world.upstreams.values_mut() {
+        fake.mood = Mood::Mute;
+    }
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000)]);
+    world.pass(3_000);
+    assert!(world.begun.iter().all(|begun| begun.run.task.index == 0));
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+}
+
+#[test]
+fn a_new_leader_keeps_what_runs() {
+    let mut world = World::new(2, 4);
+    world.work_ms.insert(format!("{:016x}", 1), 6_000);
+    world.submit("scan", "key-a", 1, vec![gang(4, 8, 6_000)]);
+    world.pass(2_000);
+    world.take_over();
+    world.pass(4_500);
+    assert_eq!(world.phase("scan", 1), Some(Phase::Completed));
+    assert_eq!(world.begun.len(), 4);
+}
+
+#[test]
+fn a_run_that_was_stored_but_never_ordered_starts_under_the_next_leader() {
+    let mut world = World::new(1, 2);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000)]);
+    let at = world.begun[0].at.clone();
+    // As if the order had never arrived.
+    world.upstreams.get_mut(&at).unwrap().running.clear();
+    world.take_over();
+    world.pass(200);
+    assert_eq!(world.begun.len(), 2);
+    assert_eq!(world.begun[1].run.number, 2);
+    world.pass(1_500);
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+}
+
+#[test]
+fn a_job_accepted_before_a_loss_is_known_after_it() {
+    let mut world = World::new(1, 2);
+    let reply = world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000)]);
+    assert_eq!(reply, Some(Reply::Accepted));
+    world.take_over();
+    assert!(world.phase("batch", 1).is_some());
+}
--- /dev/null
+++ b/tests/fleet/world.rs
@@ -0,0 +1,564 @@
+//! A scheduler with upstreams and a store that a test controls; time moves only when it says so.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use trefoilgauge::fleet::Effect;
+use trefoilgauge::fleet::Event;
+use trefoilgauge::fleet::Scheduler;
+use trefoilgauge::fleet::event::Ask;
+use trefoilgauge::fleet::event::AtWork;
+use trefoilgauge::fleet::event::Call;
+use trefoilgauge::fleet::event::Ended;
+use trefoilgauge::fleet::event::Held;
+use trefoilgauge::fleet::event::Phase;
+use trefoilgauge::fleet::event::Reading;
+use trefoilgauge::fleet::event::Reply;
+use trefoilgauge::fleet::event::Report;
+use trefoilgauge::fleet::event::Started;
+use trefoilgauge::fleet::event::Stopped;
+use trefoilgauge::fleet::model::Config;
+use trefoilgauge::fleet::model::How;
+use trefoilgauge::fleet::model::Listing;
+use trefoilgauge::fleet::model::Need;
+use trefoilgauge::fleet::model::Queue;
+use trefoilgauge::fleet::model::RunId;
+use trefoilgauge::fleet::model::Spec;
+use trefoilgauge::fleet::model::Step;
+use trefoilgauge::fleet::model::TaskId;
+use trefoilgauge::fleet::model::Workspace;
+use trefoilgauge::fleet::row::Row;
+use trefoilgauge::fleet::timing::Timing;
+use trefoilgauge::prelude::*;
+
+/// The time of day at which worlds begin, Unix milliseconds.
+pub const WALL_MS: u64 = 1_700_000_000_000;
+/// How long the adapter waits for a report beyond what was asked for, in milliseconds.
+const HOLD_LATE_MS: u64 = 600;
+/// The step of time, in milliseconds.
+const STEP_MS: u64 = 10;
+
+/// What an upstream does with orders to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mood {
+    /// Runs them.
+    Sound,
+    /// Runs them, and fails each.
+    Failing,
+    /// Takes calls and never answers; what runs there goes on.
+    Silent,
+    /// Loses the first response to each start, and carries it out.
+    Mute,
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub struct Fake {
+    pub mood: Mood,
+    pub listing: Listing,
+    pub running: BTreeMap<TaskId, (u32, u64)>,
+    pub ended: Vec<Ended>,
+    ends: u64,
+    seen: u64,
+    lease: u64,
+    barred: HashMap<TaskId, u32>,
+    hold: Option<(u64, u64)>,
+}
+
+/// A run that began: task, number, upstream, time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Begun {
+    pub run: RunId,
+    pub at: Name,
+    pub time: u64,
+}
+
+/// The scheduler and what surrounds it.
+pub struct World {
+    pub scheduler: Scheduler,
+    pub now: u64,
+    pub rows: BTreeMap<String, Vec<u8>>,
+    pub upstreams: BTreeMap<Name, Fake>,
+    pub begun: Vec<Begun>,
+    pub store_down: bool,
+    pub work_ms: HashMap<String, u64>,
+    replies: HashMap<u64, Reply>,
+    held_back: Vec<(Vec<Row>, Vec<Effect>)>,
+    calls: u64,
+}
+
+/// The bounds that worlds have.
+pub fn timing() -> Timing {
+    Timing {
+        max_lease_ms: 6_000,
+        gang_wait_ms: 3_000,
+        stop_ms: 200,
+        keep_ms: 120_000,
+        far_factor: 3.0,
+        save_ms: 2_000,
+        restore_ms: 600,
+        reclaim_ms: 2_700,
+    }
+}
+
+/// A queue of each priority, and two workspaces.
+pub fn config(version: u64, guaranteed: u64) -> Config {
+    let queue = |name: &str, priority, stretch, aim_ms| {
+        Arc::new(Queue {
+            name: name.into(),
+            host: "host".into(),
+            prefix: format!("/{name}/").into(),
+            service: "service".into(),
+            priority,
+            attempts: 2,
+            stretch,
+            aim_ms,
+            public: false,
+            advised: false,
+        })
+    };
+    let workspace = |name: &str| {
+        Arc::new(Workspace {
+            name: name.into(),
+            guaranteed,
+        })
+    };
+    Config {
+        version,
+        queues: vec![
+            queue("urgent", 0, 1.5, 250),
+            queue("scan", 1, 3.0, 1_000),
+            queue("batch", 2, 3.0, 3_000),
+        ],
+        keys: HashMap::from([
+            ("key-a".to_owned(), workspace("a")),
+            ("key-b".to_owned(), workspace("b")),
+        ]),
+    }
+}
+
+/// A step of `count` tasks with `accelerators` each.
+pub fn step(count: u32, accelerators: u64, estimate_ms: u64) -> Step {
+    Step {
+        count,
+        cpu: 1_000,
+        memory: 1_000,
+        accelerators,
+        estimate_ms,
+        ..Step::default()
+    }
+}
+
+/// A gang on one rack.
+pub fn gang(count: u32, accelerators: u64, estimate_ms: u64) -> Step {
+    Step {
+        gang: true,
+        one_rack: true,
+        ..step(count, accelerators, estimate_ms)
+    }
+}
+
+impl World {
+    /// Makes a world of `racks` racks with `each` upstreams of 8 accelerators.
+    pub fn new(racks: u32, each: u32) -> Self {
+        let now = 1_000;
+        let scheduler = Scheduler::load(timing(), Vec::new(), now, WALL_MS + now, 0).unwrap();
+        let mut world = Self {
+            scheduler,
+            now,
+            rows: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            begun: Vec::new(),
+            store_down: false,
+            work_ms: HashMap::new(),
+            replies: HashMap::new(),
+            held_back: Vec::new(),
+            calls: 0,
+        };
+        for rack in 0..racks {
+            for number in 0..each {
+                let listing = listing(&format!("u-{rack}-{number}"), rack);
+                world.upstreams.insert(
+                    listing.id.clone(),
+                    Fake {
+                        mood: Mood::Sound,
+                        listing,
+                        running: BTreeMap::new(),
+                        ended: Vec::new(),
+                        ends: 0,
+                        seen: 0,
+                        lease: 0,
+                        barred: HashMap::new(),
+                        hold: None,
+                    },
+                );
+            }
+        }
+        world.tell(Event::Config(Arc::new(config(1, 16))));
+        world.list();
+        world
+    }
+
+    /// Tells the scheduler the entries of all upstreams.
+    pub fn list(&mut self) {
+        let now = self.now;
+        let listings = self.upstreams.values().map(|fake| Listing {
+            clock_ms: now,
+            ..fake.listing.clone()
+        });
+        let listings = listings.collect();
+        self.tell(Event::Listed(listings));
+    }
+
+    /// Puts a scheduler that has taken the lead from this one in its place.
+    pub fn take_over(&mut self) {
+        self.held_back.clear();
+        let rows = self.rows.iter().map(|(key, value)| Row {
+            key: key.clone(),
+            value: value.clone(),
+        });
+        let rows = rows.collect();
+        for fake in self.upstreams.values_mut() {
+            fake.hold = None;
+        }
+        self.scheduler =
+            Scheduler::load(timing(), rows, self.now, WALL_MS + self.now, 16_000).unwrap();
+        self.tell(Event::Config(Arc::new(config(1, 16))));
+        self.list();
+    }
+
+    /// Submits a job of one step and returns the reply.
+    pub fn submit(&mut self, queue: &str, key: &str, id: u64, steps: Vec<Step>) -> Option<Reply> {
+        let spec = Spec {
+            text: "text".to_owned(),
+            steps,
+            ..Spec::default()
+        };
+        self.call(queue, key, id, Ask::Submit(Arc::new(spec)))
+    }
+
+    /// Makes a call and returns the reply, if there is one at once.
+    pub fn call(&mut self, queue: &str, key: &str, id: u64, ask: Ask) -> Option<Reply> {
+        self.calls += 1;
+        let call = self.calls;
+        let what = Call {
+            host: "host".to_owned(),
+            path: format!("/{queue}/{id:016x}"),
+            key: key.to_owned(),
+            ask,
+        };
+        self.tell(Event::Called { call, what });
+        self.replies.remove(&call)
+    }
+
+    /// Returns a job's state as callers see it.
+    pub fn phase(&mut self, queue: &str, id: u64) -> Option<Phase> {
+        match self.call(queue, "key-a", id, Ask::State) {
+            Some(Reply::State(phase)) => Some(phase),
+            _ => None,
+        }
+    }
+
+    /// Tells the scheduler something, and carries out what follows.
+    pub fn tell(&mut self, event: Event) {
+        self.scheduler.step(self.now, event);
+        self.settle();
+    }
+
+    /// Brings the store back.
+    pub fn store_up(&mut self) {
+        self.store_down = false;
+        for (rows, gated) in std::mem::take(&mut self.held_back) {
+            self.commit(rows, gated);
+        }
+        self.settle();
+    }
+
+    /// Lets `ms` pass.
+    pub fn pass(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            self.work();
+            self.answer_holds();
+            self.settle();
+        }
+    }
+
+    /// Returns the runs of a job that are at work now, as upstreams see it.
+    pub fn at_work(&self, id: u64) -> Vec<(TaskId, u32, Name)> {
+        let job = format!("{id:016x}");
+        let mut found = Vec::new();
+        for (name, fake) in &self.upstreams {
+            for (task, (number, _)) in &fake.running {
+                if *task.job == *job {
+                    found.push((task.clone(), *number, name.clone()));
+                }
+            }
+        }
+        found
+    }
+
+    /// Panics if two runs of one task are at work.
+    pub fn assert_single(&self) {
+        let mut seen = HashSet::new();
+        for fake in self.upstreams.values() {
+            for task in fake.running.keys() {
+                assert!(seen.insert(task.clone()), "{task:?} runs twice");
+            }
+        }
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..100 {
+            let output = self.scheduler.finish(self.now, WALL_MS + self.now);
+            if output.rows.is_empty() && output.gated.is_empty() && output.free.is_empty() {
+                break;
+            }
+            for effect in output.free {
+                self.carry(effect);
+            }
+            if self.store_down {
+                self.held_back.push((output.rows, output.gated));
+            } else {
+                self.commit(output.rows, output.gated);
+            }
+            self.answer_holds();
+        }
+        self.assert_single();
+    }
+
+    fn commit(&mut self, rows: Vec<Row>, gated: Vec<Effect>) {
+        for row in rows {
+            if row.value.is_empty() {
+                self.rows.remove(&row.key);
+            } else {
+                self.rows.insert(row.key, row.value);
+            }
+        }
+        for effect in gated {
+            self.carry(effect);
+        }
+    }
+
+    fn carry(&mut self, effect: Effect) {
+        let now = self.now;
+        match effect {
+            Effect::Reply { call, reply } => {
+                self.replies.insert(call, reply);
+            }
+            Effect::Noted { at, number } => {
+                self.scheduler.step(now, Event::Noted { at, number });
+            }
+            Effect::Sealed { job } => self.scheduler.step(now, Event::Sealed(job)),
+            Effect::Resign { why } => panic!("resigned: {why}"),
+            Effect::Start {
+                at, run, until_ms, ..
+            } => self.start(&at, run, until_ms),
+            Effect::Stop { at, run, .. } => self.stop(&at, run),
+            Effect::Hold {
+                at,
+                until_ms,
+                seen,
+                wait_ms,
+                ..
+            } => {
+                let Some(fake) = self.upstreams.get_mut(&at) else {
+                    return;
+                };
+                if fake.mood == Mood::Silent {
+                    let event = Event::Held {
+                        at,
+                        sent: now,
+                        answer: Held::Silent,
+                        clock: None,
+                    };
+                    self.scheduler.step(now, event);
+                    return;
+                }
+                fake.lease = fake.lease.max(until_ms);
+                fake.seen = fake.seen.max(seen);
+                let seen = fake.seen;
+                fake.ended.retain(|end| end.number > seen);
+                fake.hold = Some((now, now + wait_ms));
+            }
+        }
+    }
+
+    fn start(&mut self, at: &Name, run: RunId, until_ms: u64) {
+        let now = self.now;
+        let fake = self.upstreams.get_mut(at).unwrap();
+        let work = self.work_ms.get(&*run.task.job).copied().unwrap_or(1_000);
+        let barred = fake.barred.get(&run.task).is_some_and(|n| *n >= run.number);
+        let answer = match fake.mood {
+            Mood::Silent => Started::Silent,
+            _ if barred => Started::Barred,
+            mood => {
+                let first = !fake.running.contains_key(&run.task);
+                if first {
+                    self.begun.push(Begun {
+                        run: run.clone(),
+                        at: at.clone(),
+                        time: now,
+                    });
+                }
+                fake.lease = fake.lease.max(until_ms);
+                let end = if mood == Mood::Failing {
+                    now + 100
+                } else {
+                    now + work
+                };
+                fake.running.insert(run.task.clone(), (run.number, end));
+                if mood == Mood::Mute && first {
+                    Started::Silent
+                } else {
+                    Started::Yes
+                }
+            }
+        };
+        let clock = (answer != Started::Silent).then_some(Reading {
+            clock_ms: now,
+            at: now,
+        });
+        let event = Event::Started {
+            at: at.clone(),
+            run,
+            answer,
+            clock,
+        };
+        self.scheduler.step(now, event);
+    }
+
+    fn stop(&mut self, at: &Name, run: RunId) {
+        let now = self.now;
+        let fake = self.upstreams.get_mut(at).unwrap();
+        let answer = if fake.mood == Mood::Silent {
+            Stopped::Silent
+        } else {
+            fake.barred.insert(run.task.clone(), run.number);
+            fake.end(&run.task, How::Stopped);
+            Stopped::Yes
+        };
+        let event = Event::Stopped {
+            at: at.clone(),
+            run,
+            answer,
+            clock: None,
+        };
+        self.scheduler.step(now, event);
+    }
+
+    fn work(&mut self) {
+        let now = self.now;
+        for fake in self.upstreams.values_mut() {
+            if fake.lease <= now {
+                let lapsed: Vec<TaskId> = fake.running.keys().cloned().collect();
+                for task in lapsed {
+                    fake.end(&task, How::Lapsed);
+                }
+            }
+            let over: Vec<TaskId> = fake
+                .running
+                .iter()
+                .filter(|(_, (_, end))| *end <= now)
+                .map(|(task, _)| task.clone())
+                .collect();
+            let how = if fake.mood == Mood::Failing {
+                How::Failed
+            } else {
+                How::Done
+            };
+            for task in over {
+                fake.end(&task, how);
+            }
+        }
+    }
+
+    fn answer_holds(&mut self) {
+        let now = self.now;
+        let mut events = Vec::new();
+        for (at, fake) in &mut self.upstreams {
+            let Some((sent, until)) = fake.hold else {
+                continue;
+            };
+            let silent = fake.mood == Mood::Silent;
+            if silent && until + HOLD_LATE_MS > now
+                || !silent && fake.ended.is_empty() && until > now
+            {
+                continue;
+            }
+            fake.hold = None;
+            if silent {
+                events.push(Event::Held {
+                    at: at.clone(),
+                    sent,
+                    answer: Held::Silent,
+                    clock: None,
+                });
+                continue;
+            }
+            let running = fake.running.iter().map(|(task, (number, _))| AtWork {
+                run: RunId {
+                    task: task.clone(),
+                    number: *number,
+                },
+                saved: String::new(),
+                percent: 1,
+            });
+            let report = Report {
+                born: fake.listing.born,
+                running: running.collect(),
+                ended: fake.ended.clone(),
+            };
+            events.push(Event::Held {
+                at: at.clone(),
+                sent,
+                answer: Held::Report(report),
+                clock: Some(Reading {
+                    clock_ms: now,
+                    at: now,
+                }),
+            });
+        }
+        for event in events {
+            self.scheduler.step(now, event);
+        }
+    }
+}
+
+impl Fake {
+    /// Ends a run.
+    pub fn end(&mut self, task: &TaskId, how: How) {
+        let Some((number, _)) = self.running.remove(task) else {
+            return;
+        };
+        self.ends += 1;
+        self.barred.insert(task.clone(), number);
+        self.ended.push(Ended {
+            number: self.ends,
+            run: RunId {
+                task: task.clone(),
+                number,
+            },
+            how,
+            saved: String::new(),
+        });
+    }
+}
+
+fn listing(id: &str, rack: u32) -> Listing {
+    Listing {
+        id: id.into(),
+        addr: format!("10.0.0.1:{}", 1_000 + rack).into(),
+        service: "service".into(),
+        born: 7,
+        room: Need {
+            cpu: 128_000,
+            memory: 262_144,
+            accelerators: 8,
+        },
+        labels: vec!["a".into(), format!("r1-{rack}").into()],
+        clock_ms: 0,
+        ready: true,
+    }
+}
