perf(fleet): look at touched upstreams only, and plan less often the more waits

Cause: on the grown sites the leader (0.5 core) went silent for over a second in a burst: each event looked at all runs of 350 upstreams, and each plan tried every waiting gang against every victim of every rack. The other VMs challenged it, the new leader gave up because nobody had found it yet, and callers got 503 and 504 for 4 s.

Change: renewals and stops are looked at for touched upstreams, and for all each 40 ms; victims are indexed by upstream; a shape that found no place is not tried again in a plan; plans wait 1 ms for 4 waiting steps. A new leader does not give up before others could find it; a challenger that finds another leader follows that one.

--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -227,8 +227,9 @@
                     sleep(Duration::from_millis(AGAIN_MS)).await;
                 }
                 Lost::Silent => match self.challenge(row).await {
+                    Ok(_) if !self.names(row) => return false,
                     Ok(true) => sleep(Duration::from_millis(ANSWERED_MS)).await,
-                    Ok(false) => return self.names(row),
+                    Ok(false) => return true,
                     Err(error) => {
                         log::debug!("leader={} cannot be challenged: {error}", row.name);
                         sleep(Duration::from_millis(AGAIN_MS)).await;
@@ -367,6 +368,8 @@
     async fn defend(&self, row: &LeadRow) -> String {
         let mut lead = self.lead.clone();
         let mut beat = 0;
+        // Other VMs take a while to find a new leader.
+        let start = boot_ms();
         loop {
             let read = self.parts.store.read(Area::Lead, lead.end, LEAD_WAIT_MS);
             match read.await {
@@ -385,7 +388,8 @@
                     if !lead.doubted {
                         continue;
                     }
-                    let heard = boot_ms().saturating_sub(self.heard.load(Ordering::Relaxed));
+                    let last = self.heard.load(Ordering::Relaxed).max(start);
+                    let heard = boot_ms().saturating_sub(last);
                     if heard > HEARD_MS {
                         return format!("challenged, and no VM was heard for {heard} ms");
                     }
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -3,6 +3,7 @@
 use super::model::Need;
 use super::model::Step;
 use crate::prelude::*;
+use std::collections::BTreeMap;
 
 /// An upstream as the planner sees it.
 #[derive(Debug, Clone)]
@@ -89,20 +90,34 @@
         .map(|(index, _)| index)
 }
 
-/// Groups the spots that a gang may use together: by rack if it wants one, else all.
-pub(super) fn cells(spots: &[Spot], wish: &Wish<'_>) -> Vec<Vec<usize>> {
-    let usable = spots
-        .iter()
-        .enumerate()
-        .filter(|(_, spot)| wish.takes(spot));
-    if !wish.step.one_rack || wish.far {
-        return vec![usable.map(|(index, _)| index).collect()];
+/// The spots rack by rack.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Racks(Vec<Vec<usize>>);
+
+impl Racks {
+    /// Groups `spots` by rack.
+    pub(super) fn new(spots: &[Spot]) -> Self {
+        let mut racks = BTreeMap::<&Name, Vec<usize>>::new();
+        for (index, spot) in spots.iter().enumerate() {
+            racks.entry(&spot.rack).or_default().push(index);
+        }
+        Self(racks.into_values().collect())
     }
-    let mut racks = std::collections::BTreeMap::<&Name, Vec<usize>>::new();
-    for (index, spot) in usable {
-        racks.entry(&spot.rack).or_default().push(index);
+
+    /// Groups the spots that a gang may use together: by rack if it wants one, else all.
+    pub(super) fn cells(&self, spots: &[Spot], wish: &Wish<'_>) -> Vec<Vec<usize>> {
+        let near = |rack: &&Vec<usize>| rack.first().is_some_and(|&at| wish.near(&spots[at]));
+        let usable = |rack: &Vec<usize>| {
+            let takes = |at: &usize| wish.takes(&spots[*at]);
+            rack.iter().copied().filter(takes).collect::<Vec<usize>>()
+        };
+        let racks = self.0.iter().filter(near).map(usable);
+        if wish.step.one_rack && !wish.far {
+            racks.collect()
+        } else {
+            vec![racks.flatten().collect()]
+        }
     }
-    racks.into_values().collect()
 }
 
 /// Fills `count` tasks into the spots of a cell, tightest first; `free` tells what is free.
@@ -134,12 +149,18 @@
 }
 
 /// Finds places for a whole gang: the cell in which the least is left over.
-pub(super) fn gang(spots: &[Spot], wish: &Wish<'_>, count: u32) -> Option<Vec<usize>> {
+pub(super) fn gang(
+    spots: &[Spot],
+    racks: &Racks,
+    wish: &Wish<'_>,
+    count: u32,
+) -> Option<Vec<usize>> {
     let free = |index: usize| {
         let spot = spots.get(index)?;
         spot.open.then_some(spot.free)
     };
-    cells(spots, wish)
+    racks
+        .cells(spots, wish)
         .iter()
         .filter_map(|cell| {
             let found = fill(cell, wish, count, free)?;
@@ -152,10 +173,11 @@
 }
 
 /// Tells whether the step would fit near its data and on one rack if everything were free.
-pub(super) fn ever_near(spots: &[Spot], wish: &Wish<'_>, count: u32) -> bool {
+pub(super) fn ever_near(spots: &[Spot], racks: &Racks, wish: &Wish<'_>, count: u32) -> bool {
     let room = |index: usize| spots.get(index).map(|spot| spot.room);
     let count = if wish.step.gang { count } else { 1 };
-    cells(spots, wish)
+    racks
+        .cells(spots, wish)
         .iter()
         .any(|cell| fill(cell, wish, count, room).is_some())
 }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -10,6 +10,7 @@
 use super::model::Spec;
 use super::model::Step;
 use super::place;
+use super::place::Racks;
 use super::place::Spot;
 use super::place::Wish;
 use super::scheduler::Scheduler;
@@ -19,7 +20,9 @@
 use super::task::Place;
 use super::task::Stage;
 use super::victims;
+use super::victims::Request;
 use super::victims::Victim;
+use super::victims::Victims;
 use crate::prelude::*;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -59,10 +62,27 @@
     /// What stops under way give back.
     ending: HashMap<usize, Need>,
     /// Work that may be stopped, made when it is first needed.
-    victims: Option<Vec<Victim>>,
+    victims: Option<Victims>,
+    racks: Racks,
+    /// What found no place in this plan: rooms only shrink while it is made.
+    failed: HashMap<Shape, u32>,
     busy_share: f64,
 }
 
+/// What makes two requests for places alike.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Shape {
+    service: Name,
+    label: String,
+    rack: String,
+    spread: u32,
+    gang: bool,
+    one_rack: bool,
+    far: bool,
+    entitled: bool,
+    need: (u64, u64, u64),
+}
+
 impl Board {
     /// Tells whether one task of `need` for each entry of `spots` fits, with or without what
     /// stops under way give back.
@@ -97,20 +117,21 @@
 }
 
 impl Scheduler {
-    /// Places what waits.
-    pub(super) fn plan(&mut self, now: u64) {
+    /// Places what waits; returns how many steps waited.
+    pub(super) fn plan(&mut self, now: u64) -> u64 {
         let Some(config) = self.config.clone() else {
-            return;
+            return 0;
         };
         let mut waiting = self.waiting_steps(now, &config);
         if waiting.is_empty() {
-            return;
+            return 0;
         }
         waiting.sort_by_key(|wait| wait.rank);
         let mut board = self.board(now);
-        for wait in waiting {
-            self.place_step(now, &mut board, &wait);
+        for wait in &waiting {
+            self.place_step(now, &mut board, wait);
         }
+        waiting.len() as u64
     }
 
     /// Returns the urgent jobs that lie within the guarantees of their workspaces, oldest first.
@@ -208,12 +229,16 @@
     fn board(&self, now: u64) -> Board {
         let mut spots = Vec::with_capacity(self.upstreams.len());
         let mut index = HashMap::with_capacity(self.upstreams.len());
+        let mut ending = HashMap::new();
         let (mut used, mut room) = (0, 0);
         for (name, upstream) in &self.upstreams {
             if !upstream.listed {
                 continue;
             }
             index.insert(name.clone(), spots.len());
+            if !upstream.stopping.is_empty() {
+                ending.insert(spots.len(), upstream.ending());
+            }
             used += upstream.used.accelerators;
             room += upstream.listing.room.accelerators;
             spots.push(Spot {
@@ -226,27 +251,13 @@
                 open: upstream.is_open(now),
             });
         }
-        let mut ending = HashMap::<usize, Need>::new();
-        for (name, upstream) in &self.upstreams {
-            let Some(&at) = index.get(name) else { continue };
-            for (run, need) in &upstream.runs {
-                let task = self
-                    .jobs
-                    .get(&run.task.job)
-                    .and_then(|job| job.task(super::scheduler::place_of(&run.task)));
-                let stops = task
-                    .and_then(|task| task.live.as_ref())
-                    .is_none_or(|live| live.stage == Stage::Stopping);
-                if stops {
-                    ending.entry(at).or_default().add(need);
-                }
-            }
-        }
         Board {
+            racks: Racks::new(&spots),
             spots,
             index,
             ending,
             victims: None,
+            failed: HashMap::new(),
             busy_share: as_share(used, room),
         }
     }
@@ -271,16 +282,40 @@
         };
         let waited = now.saturating_sub(wait.since);
         let tied = step.one_rack || !step.data_rack.is_empty();
-        let far = tied && (waited > patience || !place::ever_near(&board.spots, &wish, step.count));
+        let far = tied
+            && (waited > patience
+                || !place::ever_near(&board.spots, &board.racks, &wish, step.count));
         let wish = Wish { far, ..wish };
-        if step.gang {
-            self.place_gang(now, board, wait, &wish);
+        let shape = shape(wait, &wish);
+        let count = if step.gang { step.count } else { 1 };
+        let kept = self.kept(now, wait).is_some();
+        if !kept
+            && board
+                .failed
+                .get(&shape)
+                .is_some_and(|least| *least <= count)
+        {
+            return;
+        }
+        let placed = if step.gang {
+            self.place_gang(now, board, wait, &wish)
         } else {
-            self.place_singles(now, board, wait, &wish);
+            self.place_singles(now, board, wait, &wish)
+        };
+        if !placed && !kept {
+            let least = board.failed.entry(shape).or_insert(count);
+            *least = count.min(*least);
         }
     }
 
-    fn place_singles(&mut self, now: u64, board: &mut Board, wait: &Waiting, wish: &Wish<'_>) {
+    /// Places as many single tasks as fit; returns whether all did.
+    fn place_singles(
+        &mut self,
+        now: u64,
+        board: &mut Board,
+        wait: &Waiting,
+        wish: &Wish<'_>,
+    ) -> bool {
         let mut placed = 0;
         for &index in &wait.tasks {
             let place = Place {
@@ -289,7 +324,7 @@
                 index,
             };
             let Some(job) = self.jobs.get(&wait.job) else {
-                return;
+                break;
             };
             let shuns = job.task(place).map_or(&[][..], |task| &task.shuns);
             let load = |name: &Name| load_of(job, wait, name);
@@ -312,9 +347,11 @@
                 now.saturating_sub(wait.since)
             );
         }
+        placed == wait.tasks.len()
     }
 
-    fn place_gang(&mut self, now: u64, board: &mut Board, wait: &Waiting, wish: &Wish<'_>) {
+    /// Places a gang, or makes room for it; returns whether either was possible.
+    fn place_gang(&mut self, now: u64, board: &mut Board, wait: &Waiting, wish: &Wish<'_>) -> bool {
         let count = u32::try_from(wait.tasks.len()).unwrap_or(u32::MAX);
         let need = wish.step.need();
         if let Some(kept) = self.kept(now, wait) {
@@ -325,11 +362,11 @@
             let whole = spots.len() == kept.len();
             if whole && board.holds(&spots, &need, false) {
                 self.start_gang(now, board, wait, &spots);
-                return;
+                return true;
             }
             if whole && board.holds(&spots, &need, true) {
                 board.reserve(&spots, &need);
-                return;
+                return true;
             }
             // The room went to others, or an upstream shut: look for other victims now.
             self.keep(wait, None);
@@ -339,26 +376,33 @@
             shuns: &shuns,
             ..*wish
         };
-        let found = place::gang(&board.spots, &first, count)
-            .or_else(|| place::gang(&board.spots, wish, count));
+        let find = |wish: &Wish<'_>| place::gang(&board.spots, &board.racks, wish, count);
+        let again = || find(wish);
+        let found = find(&first).or_else(|| (!shuns.is_empty()).then(again).flatten());
         if let Some(spots) = found {
             self.start_gang(now, board, wait, &spots);
-            return;
+            return true;
         }
-        if wait.queue.priority != 0 || self.preempt(now, board, wait, wish, count) {
-            return;
+        if wait.queue.priority != 0 {
+            return false;
+        }
+        if self.preempt(now, board, wait, wish, count) {
+            return true;
         }
         // A guarantee is kept even if only a place far from the data or on several racks is left.
         let waited = now.saturating_sub(wait.since);
         if wait.entitled && !wish.far && waited > self.timing.reclaim_ms / FAR_PART {
             let far = Wish { far: true, ..*wish };
-            match place::gang(&board.spots, &far, count) {
-                Some(spots) => self.start_gang(now, board, wait, &spots),
-                None => {
-                    self.preempt(now, board, wait, &far, count);
+            return match place::gang(&board.spots, &board.racks, &far, count) {
+                Some(spots) => {
+                    self.start_gang(now, board, wait, &spots);
+                    true
                 }
-            }
+                None => self.preempt(now, board, wait, &far, count),
+            };
         }
+        // It may go far soon, unlike others of its shape.
+        wait.entitled && !wish.far
     }
 
     fn kept(&mut self, now: u64, wait: &Waiting) -> Option<Vec<Name>> {
@@ -404,14 +448,22 @@
         wish: &Wish<'_>,
         count: u32,
     ) -> bool {
-        let all = match board.victims.take() {
-            Some(all) => all,
-            None => self.victims(now, board),
+        let mut victims = match board.victims.take() {
+            Some(victims) => victims,
+            None => Victims::new(self.victims(now, board)),
+        };
+        let find = |urgent| {
+            let request = Request {
+                wish,
+                count,
+                urgent,
+            };
+            let ending = &board.ending;
+            victims::find(&board.spots, &board.racks, ending, &victims, &request)
         };
-        let find = |urgent| victims::find(&board.spots, &board.ending, &all, wish, count, urgent);
         let found = find(false).or_else(|| wait.entitled.then(|| find(true)).flatten());
         let Some(found) = found else {
-            board.victims = Some(all);
+            board.victims = Some(victims);
             return false;
         };
         let names: Vec<Name> = found
@@ -428,7 +480,8 @@
         );
         let need = wish.step.need();
         for &index in &found.victims {
-            let victim = &all[index];
+            victims.take(index);
+            let victim = &victims.all[index];
             log::info!(
                 "job={} step={} preempted by={} waste_core_s={:.0}",
                 victim.job,
@@ -442,14 +495,7 @@
             self.stop_step(now, &victim.job, victim.place);
         }
         board.reserve(&found.spots, &need);
-        let chosen: HashSet<usize> = found.victims.into_iter().collect();
-        board.victims = Some(
-            all.into_iter()
-                .enumerate()
-                .filter(|(index, _)| !chosen.contains(index))
-                .map(|(_, victim)| victim)
-                .collect(),
-        );
+        board.victims = Some(victims);
         let until = now + self.timing.stop_ms + KEEP_MS;
         self.keep(wait, Some((names, until)));
         true
@@ -587,6 +633,21 @@
     }
 }
 
+fn shape(wait: &Waiting, wish: &Wish<'_>) -> Shape {
+    let need = wish.step.need();
+    Shape {
+        service: wait.queue.service.clone(),
+        label: wish.step.label.clone(),
+        rack: wish.step.data_rack.clone(),
+        spread: wish.step.spread,
+        gang: wish.step.gang,
+        one_rack: wish.step.one_rack,
+        far: wish.far,
+        entitled: wait.entitled,
+        need: (need.cpu, need.memory, need.accelerators),
+    }
+}
+
 /// Returns the accelerators that a job needs at the same time, at the most.
 fn accelerators(spec: &Spec) -> u64 {
     let each = spec.steps.iter();
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -28,6 +28,8 @@
 use super::upstream::Renewal;
 use crate::prelude::*;
 
+/// The time between two looks at all runs that wait for something, in milliseconds.
+const WATCH_MS: u64 = 40;
 /// Quarantine stops doubling after so many times.
 const QUARANTINE_DOUBLINGS: u32 = 3;
 
@@ -117,6 +119,7 @@
             return;
         };
         let until_ms = upstream.grant(now, lease_ms);
+        self.touched.insert(at.clone());
         self.out.gated.push(Effect::Start {
             at: at.clone(),
             addr: upstream.listing.addr.clone(),
@@ -175,6 +178,9 @@
         live.moved = now;
         let run = run_id(id, place, live.number);
         let at = live.at.clone();
+        if let Some(upstream) = self.upstreams.get_mut(&at) {
+            upstream.mark_stopping(&run);
+        }
         self.send_stop(&at, run);
     }
 
@@ -215,6 +221,7 @@
     fn look(&mut self, at: &Name) {
         if let Some(upstream) = self.upstreams.get_mut(at) {
             upstream.look = true;
+            self.touched.insert(at.clone());
         }
     }
 
@@ -224,6 +231,7 @@
             return;
         };
         upstream.holds = upstream.holds.saturating_sub(1);
+        self.touched.insert(at.clone());
         match answer {
             Held::Fenced => self.resign(format!("upstream {at} has seen a higher token")),
             Held::OtherLife => self.life_ended(now, at),
@@ -599,6 +607,10 @@
 
     /// Looks at runs that wait for something: expired leases, stops without a response.
     pub(super) fn watch_runs(&mut self, now: u64) {
+        if now < self.next_watch {
+            return;
+        }
+        self.next_watch = now + WATCH_MS;
         let expired: Vec<Name> = self
             .upstreams
             .iter()
@@ -613,7 +625,7 @@
         let mut again = Vec::new();
         let mut looks = Vec::new();
         for (at, upstream) in &self.upstreams {
-            for run in upstream.runs.keys() {
+            for run in upstream.stopping.keys() {
                 let Some(live) = self
                     .jobs
                     .get(&run.task.job)
@@ -622,7 +634,7 @@
                 else {
                     continue;
                 };
-                if live.stage != Stage::Stopping || now < live.moved + LOOK_MS {
+                if now < live.moved + LOOK_MS {
                     continue;
                 }
                 match live.known {
@@ -644,23 +656,35 @@
 
     /// Renews the leases of upstreams that hold runs, acknowledges ends, and asks silent ones.
     pub(super) fn renew(&mut self, now: u64) {
-        let mut gone = Vec::new();
-        for (at, upstream) in &mut self.upstreams {
+        let all = now >= self.next_renew;
+        let due: Vec<Name> = if all {
+            self.next_renew = now + WATCH_MS;
+            self.touched.clear();
+            self.upstreams.keys().cloned().collect()
+        } else {
+            std::mem::take(&mut self.touched).into_iter().collect()
+        };
+        for at in due {
+            let Some(upstream) = self.upstreams.get_mut(&at) else {
+                continue;
+            };
             match upstream.renewal(now, &self.timing) {
-                Renewal::Drop => gone.push(at.clone()),
+                Renewal::Drop => {
+                    self.upstreams.remove(&at);
+                }
                 Renewal::None => {}
-                Renewal::Send { until_ms, wait_ms } => self.out.free.push(Effect::Hold {
-                    at: at.clone(),
-                    addr: upstream.listing.addr.clone(),
-                    until_ms,
-                    seen: upstream.seen,
-                    wait_ms,
-                }),
+                Renewal::Send { until_ms, wait_ms } => {
+                    let effect = Effect::Hold {
+                        addr: upstream.listing.addr.clone(),
+                        seen: upstream.seen,
+                        at,
+                        until_ms,
+                        wait_ms,
+                    };
+                    self.out.free.push(effect);
+                }
             }
         }
-        for at in gone {
-            self.upstreams.remove(&at);
-        }
     }
 
     fn resign(&mut self, why: String) {
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -27,6 +27,12 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+/// Waiting steps for each millisecond between two plans: planning takes a small part of the time
+/// even on an eighth of a core.
+const PLAN_PART: u64 = 4;
+/// The longest time between two plans, in milliseconds.
+const MAX_PLAN_MS: u64 = 60;
+
 /// The state of the VM that leads.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -48,6 +54,14 @@
     timed: BTreeSet<Name>,
     /// Whether something changed that may let a task start.
     pub(super) changed: bool,
+    /// Upstreams whose renewal may be due now.
+    pub(super) touched: BTreeSet<Name>,
+    /// When all upstreams are looked at for renewals again, own time.
+    pub(super) next_renew: u64,
+    /// When runs that wait for something are looked at again, own time.
+    pub(super) next_watch: u64,
+    /// When tasks may be placed again, own time.
+    next_plan: u64,
     /// The time of day minus the own time, in milliseconds.
     wall_offset: i64,
 }
@@ -81,6 +95,10 @@
             closed: BTreeSet::new(),
             timed: BTreeSet::new(),
             changed: true,
+            touched: BTreeSet::new(),
+            next_renew: 0,
+            next_watch: 0,
+            next_plan: 0,
             wall_offset: 0,
         };
         scheduler.set_wall(now, wall_ms);
@@ -171,6 +189,7 @@
             Event::Noted { at, number } => {
                 if let Some(upstream) = self.upstreams.get_mut(&at) {
                     upstream.seen = upstream.seen.max(number);
+                    self.touched.insert(at);
                 }
             }
             Event::Sealed(id) => {
@@ -187,9 +206,10 @@
         self.set_wall(now, wall_ms);
         self.begin_turns(now, wall_ms);
         self.watch_runs(now);
-        if self.changed {
+        if self.changed && now >= self.next_plan {
             self.changed = false;
-            self.plan(now);
+            let waiting = self.plan(now);
+            self.next_plan = now + (waiting / PLAN_PART).min(MAX_PLAN_MS);
         }
         self.renew(now);
         self.forget(now);
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -39,6 +39,8 @@
     pub(super) used: Need,
     /// Its live runs.
     pub(super) runs: HashMap<RunId, Need>,
+    /// Its live runs that are to stop.
+    pub(super) stopping: HashMap<RunId, Need>,
     /// Its clock.
     pub(super) clock: Reading,
     /// The own time at which every lease that was asked for has surely expired.
@@ -82,6 +84,7 @@
             listed: true,
             used: Need::default(),
             runs: HashMap::new(),
+            stopping: HashMap::new(),
             lease_end: 0,
             holds: 0,
             held_at: 0,
@@ -159,8 +162,25 @@
         }
     }
 
+    /// Counts a run as one that is to stop.
+    pub(super) fn mark_stopping(&mut self, run: &RunId) {
+        if let Some(need) = self.runs.get(run) {
+            self.stopping.insert(run.clone(), *need);
+        }
+    }
+
+    /// Returns what stops under way give back.
+    pub(super) fn ending(&self) -> Need {
+        let mut sum = Need::default();
+        for need in self.stopping.values() {
+            sum.add(need);
+        }
+        sum
+    }
+
     /// Gives back what a run took.
     pub(super) fn release(&mut self, run: &RunId) {
+        self.stopping.remove(run);
         if let Some(need) = self.runs.remove(run) {
             self.used.sub(&need);
         }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,7 @@
 //! The scheduler of jobs of steps, without a network.
 
+#![expect(clippy::unwrap_used, clippy::panic, reason = "helpers of tests")]
+
 mod guarantees;
 mod once;
 mod steps;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -32,7 +32,7 @@
 use trefoilgauge::prelude::*;
 
 /// The time of day at which worlds begin, Unix milliseconds.
-pub const WALL_MS: u64 = 1_700_000_000_000;
+pub(crate) const WALL_MS: u64 = 1_700_000_000_000;
 /// How long the adapter waits for a report beyond what was asked for, in milliseconds.
 const HOLD_LATE_MS: u64 = 600;
 /// The step of time, in milliseconds.
@@ -40,7 +40,7 @@
 
 /// What an upstream does with orders to start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Mood {
+pub(crate) enum Mood {
     /// Runs them.
     Sound,
     /// Runs them, and fails each.
@@ -53,7 +53,7 @@
 
 /// One upstream.
 #[derive(Debug)]
-pub struct Fake {
+pub(crate) struct Fake {
     pub mood: Mood,
     pub listing: Listing,
     pub running: BTreeMap<TaskId, (u32, u64)>,
@@ -67,14 +67,14 @@
 
 /// A run that began: task, number, upstream, time.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Begun {
+pub(crate) struct Begun {
     pub run: RunId,
     pub at: Name,
     pub time: u64,
 }
 
 /// The scheduler and what surrounds it.
-pub struct World {
+pub(crate) struct World {
     pub scheduler: Scheduler,
     pub now: u64,
     pub rows: BTreeMap<String, Vec<u8>>,
@@ -88,7 +88,7 @@
 }
 
 /// The bounds that worlds have.
-pub fn timing() -> Timing {
+pub(crate) fn timing() -> Timing {
     Timing {
         max_lease_ms: 6_000,
         gang_wait_ms: 3_000,
@@ -102,7 +102,7 @@
 }
 
 /// A queue of each priority, and two workspaces.
-pub fn config(version: u64, guaranteed: u64) -> Config {
+pub(crate) fn config(version: u64, guaranteed: u64) -> Config {
     let queue = |name: &str, priority, stretch, aim_ms| {
         Arc::new(Queue {
             name: name.into(),
@@ -138,7 +138,7 @@
 }
 
 /// A step of `count` tasks with `accelerators` each.
-pub fn step(count: u32, accelerators: u64, estimate_ms: u64) -> Step {
+pub(crate) fn step(count: u32, accelerators: u64, estimate_ms: u64) -> Step {
     Step {
         count,
         cpu: 1_000,
@@ -150,7 +150,7 @@
 }
 
 /// A gang on one rack.
-pub fn gang(count: u32, accelerators: u64, estimate_ms: u64) -> Step {
+pub(crate) fn gang(count: u32, accelerators: u64, estimate_ms: u64) -> Step {
     Step {
         gang: true,
         one_rack: true,
@@ -160,7 +160,7 @@
 
 impl World {
     /// Makes a world of `racks` racks with `each` upstreams of 8 accelerators.
-    pub fn new(racks: u32, each: u32) -> Self {
+    pub(crate) fn new(racks: u32, each: u32) -> Self {
         let now = 1_000;
         let scheduler = Scheduler::load(timing(), Vec::new(), now, WALL_MS + now, 0).unwrap();
         let mut world = Self {
@@ -200,7 +200,7 @@
     }
 
     /// Tells the scheduler the entries of all upstreams.
-    pub fn list(&mut self) {
+    pub(crate) fn list(&mut self) {
         let now = self.now;
         let listings = self.upstreams.values().map(|fake| Listing {
             clock_ms: now,
@@ -211,7 +211,7 @@
     }
 
     /// Puts a scheduler that has taken the lead from this one in its place.
-    pub fn take_over(&mut self) {
+    pub(crate) fn take_over(&mut self) {
         self.held_back.clear();
         let rows = self.rows.iter().map(|(key, value)| Row {
             key: key.clone(),
@@ -228,7 +228,13 @@
     }
 
     /// Submits a job of one step and returns the reply.
-    pub fn submit(&mut self, queue: &str, key: &str, id: u64, steps: Vec<Step>) -> Option<Reply> {
+    pub(crate) fn submit(
+        &mut self,
+        queue: &str,
+        key: &str,
+        id: u64,
+        steps: Vec<Step>,
+    ) -> Option<Reply> {
         let spec = Spec {
             text: "text".to_owned(),
             steps,
@@ -238,7 +244,7 @@
     }
 
     /// Makes a call and returns the reply, if there is one at once.
-    pub fn call(&mut self, queue: &str, key: &str, id: u64, ask: Ask) -> Option<Reply> {
+    pub(crate) fn call(&mut self, queue: &str, key: &str, id: u64, ask: Ask) -> Option<Reply> {
         self.calls += 1;
         let call = self.calls;
         let what = Call {
@@ -252,7 +258,7 @@
     }
 
     /// Returns a job's state as callers see it.
-    pub fn phase(&mut self, queue: &str, id: u64) -> Option<Phase> {
+    pub(crate) fn phase(&mut self, queue: &str, id: u64) -> Option<Phase> {
         match self.call(queue, "key-a", id, Ask::State) {
             Some(Reply::State(phase)) => Some(phase),
             _ => None,
@@ -260,13 +266,13 @@
     }
 
     /// Tells the scheduler something, and carries out what follows.
-    pub fn tell(&mut self, event: Event) {
+    pub(crate) fn tell(&mut self, event: Event) {
         self.scheduler.step(self.now, event);
         self.settle();
     }
 
     /// Brings the store back.
-    pub fn store_up(&mut self) {
+    pub(crate) fn store_up(&mut self) {
         self.store_down = false;
         for (rows, gated) in std::mem::take(&mut self.held_back) {
             self.commit(rows, gated);
@@ -275,7 +281,7 @@
     }
 
     /// Lets `ms` pass.
-    pub fn pass(&mut self, ms: u64) {
+    pub(crate) fn pass(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
             self.now += STEP_MS;
@@ -286,7 +292,7 @@
     }
 
     /// Returns the runs of a job that are at work now, as upstreams see it.
-    pub fn at_work(&self, id: u64) -> Vec<(TaskId, u32, Name)> {
+    pub(crate) fn at_work(&self, id: u64) -> Vec<(TaskId, u32, Name)> {
         let job = format!("{id:016x}");
         let mut found = Vec::new();
         for (name, fake) in &self.upstreams {
@@ -300,7 +306,7 @@
     }
 
     /// Panics if two runs of one task are at work.
-    pub fn assert_single(&self) {
+    pub(crate) fn assert_single(&self) {
         let mut seen = HashSet::new();
         for fake in self.upstreams.values() {
             for task in fake.running.keys() {
@@ -528,7 +534,7 @@
 
 impl Fake {
     /// Ends a run.
-    pub fn end(&mut self, task: &TaskId, how: How) {
+    pub(crate) fn end(&mut self, task: &TaskId, how: How) {
         let Some((number, _)) = self.running.remove(task) else {
             return;
         };
