feat(fleet): leave the freest racks to urgent work, and order reports by marks

Change: while half of the accelerators are in use, work that is not urgent does not use the racks with the most free ones, up to 12% of all, unless it has waited for twice its duration. Renewals and events carry marks in the order in which they happened, in place of milliseconds.

--- a/src/fleet/effect.rs
+++ b/src/fleet/effect.rs
@@ -51,6 +51,8 @@
         seen: u64,
         /// How long the upstream may wait for an end, in milliseconds.
         wait_ms: u64,
+        /// Orders the renewal among events; comes back with the report.
+        mark: u64,
     },
     /// Tell the scheduler, once all before is stored, that the ends are.
     Noted {
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -218,8 +218,8 @@
     Held {
         /// The upstream.
         at: Name,
-        /// When it was sent, own time.
-        sent: u64,
+        /// The mark of the renewal.
+        mark: u64,
         /// Its answer.
         answer: Held,
         /// Its clock.
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -393,9 +393,9 @@
                 until_ms,
                 seen,
                 wait_ms,
+                mark,
             } => {
                 let target = target(&at, &addr);
-                let sent = boot_ms();
                 tokio::spawn(async move {
                     let order = HoldOrder {
                         until_ms,
@@ -405,7 +405,7 @@
                     let (answer, clock) = upstreams.hold(target, order).await;
                     let event = Event::Held {
                         at,
-                        sent,
+                        mark,
                         answer,
                         clock,
                     };
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -4,6 +4,7 @@
 use super::model::Step;
 use crate::prelude::*;
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 
 /// An upstream as the planner sees it.
 #[derive(Debug, Clone)]
@@ -52,6 +53,8 @@
     pub(super) far: bool,
     /// Upstreams to avoid.
     pub(super) shuns: &'a [Name],
+    /// Spots that are left to other work.
+    pub(super) barred: Option<&'a HashSet<usize>>,
 }
 
 impl Wish<'_> {
@@ -68,8 +71,11 @@
         self.far || self.step.data_rack.is_empty() || *spot.rack == *self.step.data_rack
     }
 
-    fn takes(&self, spot: &Spot) -> bool {
-        spot.allows(self.service, self.step) && self.near(spot) && !self.shuns.contains(&spot.name)
+    fn takes(&self, index: usize, spot: &Spot) -> bool {
+        self.barred.is_none_or(|barred| !barred.contains(&index))
+            && spot.allows(self.service, self.step)
+            && self.near(spot)
+            && !self.shuns.contains(&spot.name)
     }
 }
 
@@ -84,7 +90,7 @@
     spots
         .iter()
         .enumerate()
-        .filter(|(_, spot)| spot.open && need.fits(&spot.free) && wish.takes(spot))
+        .filter(|(index, spot)| spot.open && need.fits(&spot.free) && wish.takes(*index, spot))
         .filter(|(_, spot)| wish.step.spread == 0 || load(&spot.name) < wish.step.spread)
         .min_by_key(|(_, spot)| (spot.free.accelerators, spot.free.memory))
         .map(|(index, _)| index)
@@ -104,11 +110,32 @@
         Self(racks.into_values().collect())
     }
 
+    /// Returns the spots of the racks with the most free accelerators, until `sum` are free there.
+    pub(super) fn freest(&self, spots: &[Spot], sum: u64) -> HashSet<usize> {
+        let free = |rack: &Vec<usize>| -> u64 {
+            let open = rack.iter().filter(|at| spots[**at].open);
+            open.map(|at| spots[*at].free.accelerators).sum()
+        };
+        let mut racks: Vec<(u64, &Vec<usize>)> =
+            self.0.iter().map(|rack| (free(rack), rack)).collect();
+        racks.sort_by_key(|(free, _)| std::cmp::Reverse(*free));
+        let mut found = HashSet::new();
+        let mut left = sum;
+        for (free, rack) in racks {
+            if left == 0 {
+                break;
+            }
+            found.extend(rack);
+            left = left.saturating_sub(free);
+        }
+        found
+    }
+
     /// Groups the spots that a gang may use together: by rack if it wants one, else all.
     pub(super) fn cells(&self, spots: &[Spot], wish: &Wish<'_>) -> Vec<Vec<usize>> {
         let near = |rack: &&Vec<usize>| rack.first().is_some_and(|&at| wish.near(&spots[at]));
         let usable = |rack: &Vec<usize>| {
-            let takes = |at: &usize| wish.takes(&spots[*at]);
+            let takes = |at: &usize| wish.takes(*at, &spots[*at]);
             rack.iter().copied().filter(takes).collect::<Vec<usize>>()
         };
         let racks = self.0.iter().filter(near).map(usable);
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -36,6 +36,9 @@
 const FAR_IDLE_MS: u64 = 1_000;
 /// The part of the bound on guaranteed work after which it is placed far from its data.
 const FAR_PART: u64 = 4;
+/// The part of the accelerators that is left to urgent work, in percent: a burst of it would
+/// otherwise stop as much other work as it takes.
+const URGENT_PERCENT: u64 = 12;
 /// Late work goes after all that can be in time; the offset of its rank.
 const LATE_RANK: u32 = 1_000;
 
@@ -64,6 +67,8 @@
     /// Work that may be stopped, made when it is first needed.
     victims: Option<Victims>,
     racks: Racks,
+    /// Spots of the racks that are left to urgent work.
+    urgent_only: HashSet<usize>,
     /// What found no place in this plan: rooms only shrink while it is made.
     failed: HashMap<Shape, u32>,
     busy_share: f64,
@@ -251,8 +256,11 @@
                 open: upstream.is_open(now),
             });
         }
+        let racks = Racks::new(&spots);
+        let buffer = room * URGENT_PERCENT / 100;
         Board {
-            racks: Racks::new(&spots),
+            urgent_only: racks.freest(&spots, buffer),
+            racks,
             spots,
             index,
             ending,
@@ -274,6 +282,7 @@
             step: &step,
             far: false,
             shuns: &[],
+            barred: None,
         };
         let patience = if board.busy_share < IDLE_SHARE {
             FAR_IDLE_MS
@@ -285,7 +294,13 @@
         let far = tied
             && (waited > patience
                 || !place::ever_near(&board.spots, &board.racks, &wish, step.count));
-        let wish = Wish { far, ..wish };
+        let shared = wait.queue.priority > 0 && board.busy_share >= IDLE_SHARE && waited < patience;
+        let left = shared.then(|| board.urgent_only.clone());
+        let wish = Wish {
+            far,
+            barred: left.as_ref(),
+            ..wish
+        };
         let shape = shape(wait, &wish);
         let count = if step.gang { step.count } else { 1 };
         let kept = self.kept(now, wait).is_some();
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -42,6 +42,7 @@
 
     /// Handles the response to an order to start.
     pub(super) fn started(&mut self, now: u64, at: &Name, run: &RunId, answer: Started) {
+        let mark = self.mark;
         let Some(live) = self.live_of(at, run) else {
             return;
         };
@@ -53,7 +54,7 @@
         match answer {
             Started::Yes => {
                 live.stage = Stage::Running;
-                live.known = Some(now);
+                live.known = Some(mark);
                 live.moved = now;
                 live.saved_at = now;
                 self.begun(&run.task.job);
@@ -204,8 +205,9 @@
             Stopped::Fenced => self.resign(format!("upstream {at} has seen a higher token")),
             Stopped::OtherLife => self.life_ended(now, at),
             Stopped::Yes => {
+                let mark = self.mark;
                 if let Some(live) = self.live_of(at, run) {
-                    live.known = Some(now);
+                    live.known = Some(mark);
                     self.look(at);
                 }
             }
@@ -225,8 +227,8 @@
         }
     }
 
-    /// Handles the response to a renewal that was sent at `sent`.
-    pub(super) fn held(&mut self, now: u64, at: &Name, sent: u64, answer: Held) {
+    /// Handles the response to the renewal of `mark`.
+    pub(super) fn held(&mut self, now: u64, at: &Name, mark: u64, answer: Held) {
         let Some(upstream) = self.upstreams.get_mut(at) else {
             return;
         };
@@ -248,18 +250,18 @@
                 }
             }
             Held::Report(report) => {
-                upstream.told(sent);
+                upstream.told(mark);
                 if upstream.misses > 0 {
                     log::info!("upstream={at} answers again");
                     upstream.misses = 0;
                     self.changed = true;
                 }
-                self.reported(now, at, sent, report);
+                self.reported(now, at, mark, report);
             }
         }
     }
 
-    fn reported(&mut self, now: u64, at: &Name, sent: u64, report: Report) {
+    fn reported(&mut self, now: u64, at: &Name, mark: u64, report: Report) {
         let Some(upstream) = self.upstreams.get_mut(at) else {
             return;
         };
@@ -289,12 +291,12 @@
             });
         }
         for work in &report.running {
-            self.at_work(now, at, sent, work);
+            self.at_work(now, at, mark, work);
         }
-        self.find_vanished(now, at, sent, &report);
+        self.find_vanished(now, at, mark, &report);
     }
 
-    fn at_work(&mut self, now: u64, at: &Name, sent: u64, work: &AtWork) {
+    fn at_work(&mut self, now: u64, at: &Name, mark: u64, work: &AtWork) {
         let Some(live) = self.live_of(at, &work.run) else {
             if self.is_foreign(&work.run) {
                 log::warn!(
@@ -314,7 +316,7 @@
         }
         if live.stage == Stage::Sending {
             live.stage = Stage::Running;
-            live.known = Some(sent);
+            live.known = Some(mark);
             self.begun(&work.run.task.job);
         }
         self.save(now, &work.run, &work.saved);
@@ -356,7 +358,7 @@
     }
 
     /// Settles the runs that a report omits though it was made after the last word on them.
-    fn find_vanished(&mut self, now: u64, at: &Name, sent: u64, report: &Report) {
+    fn find_vanished(&mut self, now: u64, at: &Name, mark: u64, report: &Report) {
         let Some(upstream) = self.upstreams.get(at) else {
             return;
         };
@@ -370,7 +372,7 @@
         for run in missing {
             let known = self.live_of(at, &run).and_then(|live| live.known);
             let stale = self.live_of(at, &run).is_none();
-            if stale || known.is_some_and(|known| known <= sent) {
+            if stale || known.is_some_and(|known| known < mark) {
                 self.settle(now, &run, None);
             }
         }
@@ -674,7 +676,10 @@
                 }
                 Renewal::None => {}
                 Renewal::Send { until_ms, wait_ms } => {
+                    self.mark += 1;
+                    upstream.asked_at = self.mark;
                     let effect = Effect::Hold {
+                        mark: self.mark,
                         addr: upstream.listing.addr.clone(),
                         seen: upstream.seen,
                         at,
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -54,6 +54,9 @@
     timed: BTreeSet<Name>,
     /// Whether something changed that may let a task start.
     pub(super) changed: bool,
+    /// Counts events and renewals, to tell which report was asked for after which response: times
+    /// in milliseconds cannot.
+    pub(super) mark: u64,
     /// Upstreams whose renewal may be due now.
     pub(super) touched: BTreeSet<Name>,
     /// When all upstreams are looked at for renewals again, own time.
@@ -95,6 +98,7 @@
             closed: BTreeSet::new(),
             timed: BTreeSet::new(),
             changed: true,
+            mark: 0,
             touched: BTreeSet::new(),
             next_renew: 0,
             next_watch: 0,
@@ -154,6 +158,7 @@
 
     /// Handles one event; effects and rows gather until [`Scheduler::finish`].
     pub fn step(&mut self, now: u64, event: Event) {
+        self.mark += 1;
         match event {
             Event::Called { call, what } => self.called(now, call, what),
             Event::Config(config) => self.configured(config),
@@ -179,12 +184,12 @@
             }
             Event::Held {
                 at,
-                sent,
+                mark,
                 answer,
                 clock,
             } => {
                 self.read_clock(&at, clock);
-                self.held(now, &at, sent, answer);
+                self.held(now, &at, mark, answer);
             }
             Event::Noted { at, number } => {
                 if let Some(upstream) = self.upstreams.get_mut(&at) {
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -32,8 +32,8 @@
     pub(super) stage: Stage,
     /// When it was placed, own time.
     pub(super) since: u64,
-    /// From when on a report that omits it proves that it does not run; none while an order is
-    /// unanswered.
+    /// The mark after which a report that omits it proves that it does not run; none while an
+    /// order is unanswered.
     pub(super) known: Option<u64>,
     /// Orders to start that were sent.
     pub(super) tries: u32,
@@ -254,8 +254,8 @@
         row
     }
 
-    /// Rebuilds a job from its rows; live runs count as known from `now` on, since the new token
-    /// bars every older order.
+    /// Rebuilds a job from its rows; live runs count as known, since the new token bars every
+    /// older order.
     pub(super) fn load(id: &str, fixed: JobRow, row: StateRow, now: u64, wall_ms: u64) -> Self {
         let row_upstreams = row.upstreams;
         let spec = Arc::new(fixed.spec.unwrap_or_default());
@@ -328,7 +328,7 @@
         number: row.runs,
         stage: Stage::Running,
         since: now,
-        known: Some(now),
+        known: Some(0),
         tries: 1,
         percent: 0,
         moved: now,
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -59,6 +59,8 @@
     pub(super) seen: u64,
     /// The last end that was handled.
     pub(super) handled: u64,
+    /// The mark of the last renewal.
+    pub(super) asked_at: u64,
     /// The last end that the renewal under way acknowledges.
     pub(super) asked: u64,
     /// The last end whose acknowledgement it has answered.
@@ -91,6 +93,7 @@
             misses: 0,
             look: false,
             retry_at: 0,
+            asked_at: 0,
             asked: 0,
             told: 0,
             seen: 0,
@@ -224,9 +227,9 @@
         }
     }
 
-    /// Notes that the renewal sent at `sent` was answered.
-    pub(super) fn told(&mut self, sent: u64) {
-        if sent >= self.held_at {
+    /// Notes that the renewal of `mark` was answered.
+    pub(super) fn told(&mut self, mark: u64) {
+        if mark >= self.asked_at {
             self.told = self.told.max(self.asked);
         }
     }
--- a/tests/fleet/once.rs
+++ b/tests/fleet/once.rs
@@ -123,3 +123,19 @@
     world.take_over();
     assert!(world.phase("batch", 1).is_some());
 }
+
+#[test]
+fn a_report_asked_for_before_a_start_was_answered_does_not_settle_it() {
+    let mut world = World::new(1, 1);
+    world.work_ms.insert(format!("{:016x}", 1), 5_000);
+    world.work_ms.insert(format!("{:016x}", 2), 5_000);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 5_000)]);
+    // A renewal is under way now; its report was made before the next start, in the same
+    // millisecond.
+    let at = world.begun[0].at.clone();
+    let stale = world.report_without(&at, 2);
+    world.submit("batch", "key-a", 2, vec![step(1, 1, 5_000)]);
+    world.tell(stale);
+    world.pass(100);
+    assert_eq!(world.begun.len(), 2, "{:?}", world.begun);
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -62,6 +62,7 @@
     seen: u64,
     lease: u64,
     barred: HashMap<TaskId, u32>,
+    /// The mark of the renewal under way, and until when it waits.
     hold: Option<(u64, u64)>,
 }
 
@@ -291,6 +292,32 @@
         }
     }
 
+    /// Returns the report to the renewal under way at `at`, made now, without job `id`.
+    pub(crate) fn report_without(&mut self, at: &Name, id: u64) -> Event {
+        let job = format!("{id:016x}");
+        let fake = self.upstreams.get_mut(at).unwrap();
+        let (mark, _) = fake.hold.take().unwrap();
+        let running = fake.running.iter().filter(|(task, _)| *task.job != *job);
+        let running = running.map(|(task, (number, _))| AtWork {
+            run: RunId {
+                task: task.clone(),
+                number: *number,
+            },
+            saved: String::new(),
+            percent: 1,
+        });
+        Event::Held {
+            at: at.clone(),
+            mark,
+            answer: Held::Report(Report {
+                born: fake.listing.born,
+                running: running.collect(),
+                ended: Vec::new(),
+            }),
+            clock: None,
+        }
+    }
+
     /// Returns the runs of a job that are at work now, as upstreams see it.
     pub(crate) fn at_work(&self, id: u64) -> Vec<(TaskId, u32, Name)> {
         let job = format!("{id:016x}");
@@ -367,6 +394,7 @@
                 until_ms,
                 seen,
                 wait_ms,
+                mark,
                 ..
             } => {
                 let Some(fake) = self.upstreams.get_mut(&at) else {
@@ -375,7 +403,7 @@
                 if fake.mood == Mood::Silent {
                     let event = Event::Held {
                         at,
-                        sent: now,
+                        mark,
                         answer: Held::Silent,
                         clock: None,
                     };
@@ -386,7 +414,7 @@
                 fake.seen = fake.seen.max(seen);
                 let seen = fake.seen;
                 fake.ended.retain(|end| end.number > seen);
-                fake.hold = Some((now, now + wait_ms));
+                fake.hold = Some((mark, now + wait_ms));
             }
         }
     }
@@ -484,7 +512,7 @@
         let now = self.now;
         let mut events = Vec::new();
         for (at, fake) in &mut self.upstreams {
-            let Some((sent, until)) = fake.hold else {
+            let Some((mark, until)) = fake.hold else {
                 continue;
             };
             let silent = fake.mood == Mood::Silent;
@@ -497,7 +525,7 @@
             if silent {
                 events.push(Event::Held {
                     at: at.clone(),
-                    sent,
+                    mark,
                     answer: Held::Silent,
                     clock: None,
                 });
@@ -518,7 +546,7 @@
             };
             events.push(Event::Held {
                 at: at.clone(),
-                sent,
+                mark,
                 answer: Held::Report(report),
                 clock: Some(Reading {
                     clock_ms: now,
