--- /dev/null
+++ b/src/fleet/gauge.rs
@@ -0,0 +1,167 @@
+//! The metrics of a VM: counters and latency histograms with few label values.
+
+use super::event::Ended;
+use super::event::Reply;
+use super::event::Started;
+use super::model::How;
+use axum::Router;
+use axum::extract::State;
+use axum::routing::get;
+use metrics::counter;
+use metrics::gauge;
+use metrics::histogram;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// The time between two clean-ups of the histograms, in seconds.
+const UPKEEP_S: u64 = 5;
+
+/// The running listener for metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl Drop for Metrics {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Serves the process's metrics at `/metrics` of `addr`, as text.
+///
+/// # Errors
+///
+/// The address cannot be bound, or the process has a recorder already.
+pub async fn bind(addr: SocketAddr) -> std::io::Result<Metrics> {
+    let builder = PrometheusBuilder::new();
+    let handle = builder.install_recorder().map_err(std::io::Error::other)?;
+    let listener = TcpListener::bind(addr).await?;
+    let upkeep = handle.clone();
+    let router = Router::new()
+        .route("/metrics", get(render))
+        .with_state(handle);
+    let serving = tokio::spawn(async move {
+        if let Err(error) = axum::serve(listener, router).await {
+            log::error!("metrics are not served any more: {error}");
+        }
+    });
+    let keeping = tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_secs(UPKEEP_S)).await;
+            upkeep.run_upkeep();
+        }
+    });
+    Ok(Metrics {
+        tasks: [serving, keeping],
+    })
+}
+
+async fn render(State(handle): State<PrometheusHandle>) -> String {
+    handle.render()
+}
+
+/// Counts a reply and the time that it took.
+pub(super) fn replied(reply: &Reply, ms: u64) {
+    let outcome = match reply {
+        Reply::Accepted => "accepted",
+        Reply::Refused { .. } => "refused",
+        Reply::State(_) => "state",
+        Reply::Waiting(_) => "waiting",
+        Reply::Cancelled => "cancelled",
+        Reply::Gone => "gone",
+        Reply::NoQueue => "no_queue",
+        Reply::BadKey => "bad_key",
+        Reply::Bad(_) => "bad",
+        Reply::Unknown => "unknown",
+        Reply::Unavailable { .. } => "unavailable",
+    };
+    counter!("fleet_calls_total", "outcome" => outcome).increment(1);
+    histogram!("fleet_call_seconds", "outcome" => outcome).record(seconds(ms));
+}
+
+/// Counts the response to an order to start.
+pub(super) fn started(answer: Started) {
+    let answer = match answer {
+        Started::Yes => "yes",
+        Started::Fenced => "fenced",
+        Started::Barred => "barred",
+        Started::Late => "late",
+        Started::Full => "full",
+        Started::Unwell => "unwell",
+        Started::OtherLife => "other_life",
+        Started::Rejected => "rejected",
+        Started::Silent => "silent",
+    };
+    counter!("fleet_starts_total", "answer" => answer).increment(1);
+}
+
+/// Counts the end of a run.
+pub(super) fn ended(end: &Ended) {
+    let how = match end.how {
+        How::Done => "done",
+        How::Failed => "failed",
+        How::Stopped => "stopped",
+        How::Lapsed => "lapsed",
+        How::Broken => "broken",
+        How::Alone => "alone",
+    };
+    counter!("fleet_ends_total", "how" => how).increment(1);
+}
+
+/// Counts runs that were settled without an end: nothing proves how they ended.
+pub(super) fn settled() {
+    counter!("fleet_settled_total").increment(1);
+}
+
+/// Records how long tasks waited for a place.
+pub(super) fn placed(tasks: usize, ms: u64) {
+    let tasks = u64::try_from(tasks).unwrap_or(u64::MAX);
+    counter!("fleet_placed_total").increment(tasks);
+    histogram!("fleet_place_wait_seconds").record(seconds(ms));
+}
+
+/// Counts work that was stopped for urgent work.
+pub(super) fn preempted(victims: usize) {
+    let victims = u64::try_from(victims).unwrap_or(u64::MAX);
+    counter!("fleet_preempted_total").increment(victims);
+}
+
+/// Records an append to the store.
+pub(super) fn appended(rows: usize, ms: u64) {
+    let rows = u64::try_from(rows).unwrap_or(u64::MAX);
+    counter!("fleet_rows_total").increment(rows);
+    histogram!("fleet_append_seconds").record(seconds(ms));
+}
+
+/// Counts a failed call of the store.
+pub(super) fn store_failed(call: &'static str) {
+    counter!("fleet_store_failures_total", "call" => call).increment(1);
+}
+
+/// Records whether this VM leads.
+pub(super) fn leads(leads: bool) {
+    gauge!("fleet_leads").set(if leads { 1.0 } else { 0.0 });
+}
+
+/// Records the age of the configuration and the state of what the leader looks after.
+pub(super) fn state(config_age_ms: u64, open: usize, upstreams: usize, silent: usize) {
+    gauge!("fleet_config_age_seconds").set(seconds(config_age_ms));
+    gauge!("fleet_open_jobs").set(count(open));
+    gauge!("fleet_upstreams", "state" => "all").set(count(upstreams));
+    gauge!("fleet_upstreams", "state" => "silent").set(count(silent));
+}
+
+fn count(number: usize) -> f64 {
+    u32::try_from(number).map_or(f64::from(u32::MAX), f64::from)
+}
+
+fn seconds(ms: u64) -> f64 {
+    Duration::from_millis(ms).as_secs_f64()
+}
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -9,6 +9,7 @@
 use crate::fleet::event::Ask;
 use crate::fleet::event::Call;
 use crate::fleet::event::Reply;
+use crate::fleet::gauge;
 use crate::fleet::ports::Area;
 use crate::fleet::ports::Error;
 use crate::fleet::ports::HoldOrder;
@@ -132,7 +133,8 @@
     parts: Parts,
     epoch: u64,
     sequence: u64,
-    callers: HashMap<u64, oneshot::Sender<Reply>>,
+    /// Who waits for a reply, and since when, own time.
+    callers: HashMap<u64, (oneshot::Sender<Reply>, u64)>,
     last_call: u64,
     rows: Vec<Row>,
     gated: Vec<Effect>,
@@ -143,6 +145,7 @@
 struct Append {
     done: oneshot::Receiver<Result<u64, Error>>,
     since: u64,
+    rows: usize,
     effects: Vec<Effect>,
 }
 
@@ -201,6 +204,7 @@
                     match result {
                         Ok(sent) => {
                             self.gauges.proven_at.fetch_max(sent, Ordering::Relaxed);
+                            gauge::appended(done.rows, boot_ms().saturating_sub(done.since));
                             for effect in done.effects {
                                 self.carry(effect);
                             }
@@ -208,7 +212,10 @@
                         Err(error) => self.resigned = Some(error.to_string()),
                     }
                 }
-                _ = tick.tick() => {}
+                _ = tick.tick() => {
+                    let (open, all, silent) = self.scheduler.counts();
+                    gauge::state(age(&self.gauges.config_at), open, all, silent);
+                }
             }
             let now = boot_ms();
             let output = self.scheduler.finish(now, wall_ms());
@@ -239,13 +246,14 @@
             Input::Leave => {}
             Input::Call(what, tx) => {
                 if let Some(reply) = self.decline(&what, stalled) {
+                    gauge::replied(&reply, 0);
                     if tx.send(reply).is_err() {
                         log::debug!("a caller left before its reply");
                     }
                     return;
                 }
                 self.last_call += 1;
-                self.callers.insert(self.last_call, tx);
+                self.callers.insert(self.last_call, (tx, now));
                 let call = self.last_call;
                 self.scheduler.step(now, Event::Called { call, what });
             }
@@ -295,6 +303,7 @@
             self.sequence += 1;
         }
         let store = self.parts.store.clone();
+        let count = rows.len();
         tokio::spawn(async move {
             let result = append(&*store, terms, &rows).await;
             if tx.send(result).is_err() {
@@ -304,6 +313,7 @@
         Some(Append {
             done,
             since: now,
+            rows: count,
             effects,
         })
     }
@@ -416,7 +426,7 @@
     }
 
     fn answer(&mut self, call: u64, reply: Reply) {
-        let Some(tx) = self.callers.remove(&call) else {
+        let Some((tx, since)) = self.callers.remove(&call) else {
             return;
         };
         let absent = matches!(reply, Reply::Gone | Reply::Waiting(_));
@@ -427,6 +437,7 @@
         } else {
             reply
         };
+        gauge::replied(&reply, boot_ms().saturating_sub(since));
         if tx.send(reply).is_err() {
             log::debug!("a caller left before its reply");
         }
@@ -464,6 +475,7 @@
             }
             Err(error @ (Error::Fenced | Error::Moved)) => return Err(error),
             Err(error) => {
+                gauge::store_failed("append");
                 if !warned {
                     warned = true;
                     log::warn!("store append failed, retrying: {error}");
--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -16,6 +16,7 @@
 use crate::fleet::Scheduler;
 use crate::fleet::clock::boot_ms;
 use crate::fleet::clock::wall_ms;
+use crate::fleet::gauge;
 use crate::fleet::ports::Area;
 use crate::fleet::ports::Error;
 use crate::fleet::ports::Rows;
@@ -319,6 +320,7 @@
         let configs = tokio::spawn(watch::configs(store.clone(), engine.clone()));
         let sightings = tokio::spawn(watch::sightings(store.clone(), engine.clone()));
         log::info!("leading epoch={}", row.epoch);
+        gauge::leads(true);
         self.desk.send_replace(Desk::Here(engine.clone()));
         let mut leaving = self.leaving.clone();
         let why = {
@@ -340,6 +342,7 @@
             }
         };
         self.desk.send_replace(Desk::None);
+        gauge::leads(false);
         configs.abort();
         sightings.abort();
         log::info!("epoch={} lead given up: {why}", row.epoch);
--- a/src/fleet/host/watch.rs
+++ b/src/fleet/host/watch.rs
@@ -3,6 +3,7 @@
 use super::engine::Engine;
 use crate::fleet::clock::boot_ms;
 use crate::fleet::event::Event;
+use crate::fleet::gauge;
 use crate::fleet::ports::Feed;
 use crate::fleet::ports::Sighting;
 use crate::fleet::ports::Store;
@@ -38,6 +39,7 @@
                 engine.gauges.config_at.fetch_max(sent, Ordering::Relaxed);
             }
             Err(error) => {
+                gauge::store_failed("configs");
                 if !std::mem::replace(&mut lost, true) {
                     log::warn!("configuration cannot be followed: {error}");
                 }
@@ -66,6 +68,7 @@
                 tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
             }
             Err(error) => {
+                gauge::store_failed("sightings");
                 if !std::mem::replace(&mut lost, true) {
                     log::warn!("discovery cannot be followed: {error}");
                 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod effect;
 pub mod event;
+pub mod gauge;
 pub mod host;
 pub mod journal;
 mod learn;
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -4,6 +4,7 @@
 //! work goes first and may stop other work; then whatever can still be in time, by priority; then
 //! what is late.
 
+use super::gauge;
 use super::model::Config;
 use super::model::Need;
 use super::model::Queue;
@@ -493,6 +494,7 @@
             found.victims.len(),
             now.saturating_sub(wait.since)
         );
+        gauge::preempted(found.victims.len());
         let need = wish.step.need();
         for &index in &found.victims {
             victims.take(index);
@@ -626,6 +628,7 @@
             }
             runs.push((at, run_id(&wait.job, place(index), number)));
         }
+        gauge::placed(pairs.len(), now.saturating_sub(wait.since));
         if pairs.len() > 1 {
             log::info!(
                 "job={} turn={} step={} run={number} tasks={} placed at={:?} waited_ms={}",
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -11,6 +11,7 @@
 use super::event::Report;
 use super::event::Started;
 use super::event::Stopped;
+use super::gauge;
 use super::model::How;
 use super::model::RunId;
 use super::scheduler::Scheduler;
@@ -42,6 +43,7 @@
 
     /// Handles the response to an order to start.
     pub(super) fn started(&mut self, now: u64, at: &Name, run: &RunId, answer: Started) {
+        gauge::started(answer);
         let mark = self.mark;
         let Some(live) = self.live_of(at, run) else {
             return;
@@ -384,6 +386,7 @@
         let Some(live) = self.live_of(at, run).map(|live| live.clone()) else {
             return;
         };
+        gauge::ended(end);
         let place = place_of(&run.task);
         self.save(now, run, &end.saved);
         if end.how != How::Done {
@@ -440,6 +443,7 @@
             upstream.release(run);
         }
         if how.is_none() {
+            gauge::settled();
             log::info!(
                 "job={} step={} index={} run={} upstream={} settled as not running stage={:?}",
                 run.task.job,
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -424,6 +424,12 @@
         }
     }
 
+    /// Counts open jobs, upstreams, and upstreams that do not answer.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let silent = self.upstreams.values().filter(|up| up.is_silent()).count();
+        (self.open.len(), self.upstreams.len(), silent)
+    }
+
     /// Tells whether a path names a job that is known here.
     pub fn knows(&self, path: &str) -> bool {
         let id = path.rsplit('/').next().unwrap_or_default();
