--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -110,11 +110,6 @@
         Self(racks.into_values().collect())
     }
 
-    /// Counts the racks.
-    pub(super) fn count(&self) -> usize {
-        self.0.len()
-    }
-
     /// Returns the spots of the racks with the most free accelerators, until `sum` are free there.
     pub(super) fn freest(&self, spots: &[Spot], sum: u64) -> HashSet<usize> {
         let free = |rack: &Vec<usize>| -> u64 {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -8,7 +8,6 @@
 use super::model::Config;
 use super::model::Need;
 use super::model::Queue;
-use super::model::RunId;
 use super::model::Spec;
 use super::model::Step;
 use super::place;
@@ -18,7 +17,6 @@
 use super::scheduler::Scheduler;
 use super::scheduler::run_id;
 use super::task::Job;
-use super::task::Kept;
 use super::task::Live;
 use super::task::Place;
 use super::task::Stage;
@@ -42,12 +40,6 @@
 /// The part of the accelerators that is left to urgent work, in percent: a burst of it would
 /// otherwise stop as much other work as it takes.
 const URGENT_PERCENT: u64 = 12;
-/// Gangs for which room is kept until it is free: one for so many racks.
-const DRAIN_PART: usize = 3;
-/// The longest time for which room is kept until it is free, in milliseconds.
-const MAX_DRAIN_MS: u64 = 6_000;
-/// The progress from which on the rest is predicted by it, in percent.
-const TRUST_PERCENT: u32 = 10;
 /// Late work goes after all that can be in time; the offset of its rank.
 const LATE_RANK: u32 = 1_000;
 
@@ -78,8 +70,6 @@
     racks: Racks,
     /// Spots of the racks that are left to urgent work.
     urgent_only: HashSet<usize>,
-    /// Gangs that may yet have room kept for them.
-    drains: usize,
     /// What found no place in this plan: rooms only shrink while it is made.
     failed: HashMap<Shape, u32>,
     busy_share: f64,
@@ -269,16 +259,7 @@
         }
         let racks = Racks::new(&spots);
         let buffer = room * URGENT_PERCENT / 100;
-        let held = self.pending.iter().filter_map(|id| self.jobs.get(id));
-        let steps = held
-            .flat_map(|job| job.turns.values())
-            .flat_map(|turn| &turn.steps);
-        let drains = steps.filter(|step| step.kept.as_ref().is_some_and(|kept| kept.drains));
         Board {
-            drains: racks
-                .count()
-                .div_ceil(DRAIN_PART)
-                .saturating_sub(drains.count()),
             urgent_only: racks.freest(&spots, buffer),
             racks,
             spots,
@@ -391,17 +372,15 @@
         let need = wish.step.need();
         if let Some(kept) = self.kept(now, wait) {
             let spots: Vec<usize> = kept
-                .names
                 .iter()
                 .filter_map(|name| board.index.get(name).copied())
                 .collect();
-            let whole = spots.len() == kept.names.len();
+            let whole = spots.len() == kept.len();
             if whole && board.holds(&spots, &need, false) {
                 self.start_gang(now, board, wait, &spots);
                 return true;
             }
-            let comes = kept.drains && spots.iter().all(|&at| board.spots[at].open);
-            if whole && (comes || board.holds(&spots, &need, true)) {
+            if whole && board.holds(&spots, &need, true) {
                 board.reserve(&spots, &need);
                 return true;
             }
@@ -421,7 +400,7 @@
             return true;
         }
         if wait.queue.priority != 0 {
-            return self.drain(now, board, wait, wish, count);
+            return false;
         }
         if self.preempt(now, board, wait, wish, count) {
             return true;
@@ -442,126 +421,20 @@
         wait.entitled && !wish.far
     }
 
-    /// Keeps the room for a gang that will be free first by itself, from which small tasks would
-    /// otherwise take each piece as it comes free.
-    fn drain(
-        &mut self,
-        now: u64,
-        board: &mut Board,
-        wait: &Waiting,
-        wish: &Wish<'_>,
-        count: u32,
-    ) -> bool {
-        if board.drains == 0 {
-            return false;
-        }
-        let mut best: Option<(u64, Vec<usize>)> = None;
-        for cell in board.racks.cells(&board.spots, wish) {
-            let mut times: Vec<(u64, usize)> = Vec::new();
-            for &at in cell.iter().filter(|at| board.spots[**at].open) {
-                let frees = self.frees(now, board, at, &wish.step.need(), wish.spread().min(count));
-                times.extend(frees.into_iter().map(|time| (time, at)));
-            }
-            times.sort_unstable();
-            times.truncate(count as usize);
-            let Some(&(last, _)) = times.last().filter(|_| times.len() == count as usize) else {
-                continue;
-            };
-            if best.as_ref().is_none_or(|(time, _)| last < *time) {
-                best = Some((last, times.into_iter().map(|(_, at)| at).collect()));
-            }
-        }
-        let Some((last, spots)) = best.filter(|(last, _)| *last <= now + MAX_DRAIN_MS) else {
-            return false;
-        };
-        board.drains -= 1;
-        board.reserve(&spots, &wish.step.need());
-        let names = spots.iter().map(|&at| board.spots[at].name.clone());
-        let kept = Kept {
-            names: names.collect(),
-            until: last + KEEP_MS,
-            drains: true,
-        };
-        log::info!(
-            "job={} step={} keeps={:?} until_free_ms={}",
-            wait.job,
-            wait.step,
-            kept.names,
-            last.saturating_sub(now)
-        );
-        self.keep(wait, Some(kept));
-        true
-    }
-
-    /// Predicts when the first, second and further tasks of `need` fit on a spot if nothing else
-    /// starts there.
-    fn frees(&self, now: u64, board: &Board, at: usize, need: &Need, most: u32) -> Vec<u64> {
-        let spot = &board.spots[at];
-        let Some(upstream) = self.upstreams.get(&spot.name) else {
-            return Vec::new();
-        };
-        let mut ends: Vec<(u64, Need)> = upstream
-            .runs
-            .iter()
-            .map(|(run, need)| (self.end_of(now, run), *need))
-            .collect();
-        ends.sort_unstable_by_key(|(end, _)| *end);
-        let mut free = spot.free;
-        let mut found = Vec::new();
-        let mut time = now;
-        let mut ends = ends.into_iter();
-        while found.len() < most as usize {
-            if need.fits(&free) {
-                free.sub(need);
-                found.push(time);
-                continue;
-            }
-            let Some((end, freed)) = ends.next() else {
-                break;
-            };
-            time = time.max(end);
-            free.add(&freed);
-        }
-        found
-    }
-
-    /// Predicts when a run ends, own time.
-    fn end_of(&self, now: u64, run: &RunId) -> u64 {
-        let place = super::scheduler::place_of(&run.task);
-        let Some(job) = self.jobs.get(&run.task.job) else {
-            return now;
-        };
-        let Some(live) = job.task(place).and_then(|task| task.live.as_ref()) else {
-            return now;
-        };
-        if live.stage == Stage::Stopping {
-            return now + self.timing.stop_ms;
-        }
-        let step = &job.spec.steps[place.step as usize];
-        if step.lasting {
-            return u64::MAX;
-        }
-        let worked = live.moved.saturating_sub(live.since);
-        let left = if live.percent >= TRUST_PERCENT {
-            let percent = u64::from(live.percent.min(100));
-            (worked * (100 - percent) / percent).saturating_sub(now.saturating_sub(live.moved))
-        } else {
-            let whole = self.durations.predict(&job.queue, step);
-            whole.saturating_sub(now.saturating_sub(live.since))
-        };
-        now + left
-    }
-
-    fn kept(&mut self, now: u64, wait: &Waiting) -> Option<Kept> {
+    fn kept(&mut self, now: u64, wait: &Waiting) -> Option<Vec<Name>> {
         let turn = self.jobs.get_mut(&wait.job)?.turns.get_mut(&wait.turn)?;
         let stretch = turn.steps.get_mut(wait.step as usize)?;
-        if stretch.kept.as_ref().is_some_and(|kept| kept.until <= now) {
+        if stretch
+            .kept
+            .as_ref()
+            .is_some_and(|(_, until)| *until <= now)
+        {
             stretch.kept = None;
         }
-        stretch.kept.clone()
+        stretch.kept.as_ref().map(|(names, _)| names.clone())
     }
 
-    fn keep(&mut self, wait: &Waiting, kept: Option<Kept>) {
+    fn keep(&mut self, wait: &Waiting, kept: Option<(Vec<Name>, u64)>) {
         if let Some(stretch) = self
             .jobs
             .get_mut(&wait.job)
@@ -641,12 +514,7 @@
         board.reserve(&found.spots, &need);
         board.victims = Some(victims);
         let until = now + self.timing.stop_ms + KEEP_MS;
-        let kept = Kept {
-            names,
-            until,
-            drains: false,
-        };
-        self.keep(wait, Some(kept));
+        self.keep(wait, Some((names, until)));
         true
     }
 
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -64,17 +64,6 @@
     pub(super) shuns: Vec<Name>,
 }
 
-/// Room that is kept for a gang until it is free.
-#[derive(Debug, Clone, PartialEq)]
-pub(super) struct Kept {
-    /// The upstream of each member.
-    pub(super) names: Vec<Name>,
-    /// Until when it is kept, own time.
-    pub(super) until: u64,
-    /// Whether the work there is left to end by itself.
-    pub(super) drains: bool,
-}
-
 /// The tasks of a step in one occurrence.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Stretch {
@@ -84,8 +73,8 @@
     pub(super) left: u32,
     /// When its turn came or it last lost a run, own time.
     pub(super) ready: Option<u64>,
-    /// The upstreams that are kept for the whole gang.
-    pub(super) kept: Option<Kept>,
+    /// The upstreams that were freed for the whole gang, and until when they are kept.
+    pub(super) kept: Option<(Vec<Name>, u64)>,
 }
 
 /// One occurrence of a job.
