fix(fleet): wait no longer than the last leader can have asked for

The new leader waited for 12 s of orders and for the longest lease that upstreams grant (10 s there).

Ruled out: the plan (the step started at once when the run was settled), lost rows (the row had the run as live, rightly).

Change: leaders ask for leases of 4.5 s at the most, so that is what their successor waits for; orders end 7 s after the store's last confirmation.

--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -42,9 +42,10 @@
 /// milliseconds: a store that answers 60 times as slowly as usual confirms within 1.2 s, and others
 /// wait a while longer.
 const PROVEN_MS: u64 = 1_000;
-/// The age of the last confirmation from which on no order is sent, in milliseconds: longer than
-/// the outages of the store that are to be borne without loss of work.
-pub(super) const ORDERS_MS: u64 = 12_000;
+/// The age of the last confirmation from which on no order is sent, in milliseconds: with a lease
+/// on top, work outlives an outage of the store of 10 s; the next leader waits as long for
+/// upstreams that it cannot reach.
+pub(super) const ORDERS_MS: u64 = 7_000;
 /// The time that an append may take before new jobs are refused, in milliseconds.
 const STALLED_MS: u64 = 1_000;
 /// `Retry-After` while the store does not respond, in milliseconds.
--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -356,7 +356,7 @@
         let store = &*self.parts.store;
         engine::append(store, terms, &[]).await.map_err(text)?;
         let rows = store.newest(Area::Jobs).await.map_err(text)?;
-        let inherited = engine::ORDERS_MS + Timing::slowest(self.parts.timing.max_lease_ms);
+        let inherited = engine::ORDERS_MS + Timing::slowest(self.parts.timing.lease_ms());
         let (now, wall) = (boot_ms(), wall_ms());
         let timing = self.parts.timing.clone();
         let mut scheduler = Scheduler::load(timing, rows.rows, now, wall, inherited)?;
