fix(fleet): look at waiting tasks again though nothing else happens

An upstream had restarted under its identity and declined a start as late; it was shut for 1.2 s, and once that was over no event made the scheduler plan again.

Ruled out: the lead (one leader all the while), the reports of the upstream (it answered again 0.1 s later).

Change: while tasks wait they are looked at every 200 ms.

--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -30,6 +30,9 @@
 /// Waiting steps for each millisecond between two plans: planning takes a small part of the time
 /// even on an eighth of a core.
 const PLAN_PART: u64 = 4;
+/// The time after which waiting tasks are looked at though nothing happened, in milliseconds: an
+/// upstream opens again, kept room or a wait for a near place has its time.
+const CHECK_MS: u64 = 200;
 /// The longest time between two plans, in milliseconds.
 const MAX_PLAN_MS: u64 = 60;
 
@@ -63,6 +66,8 @@
     pub(super) next_renew: u64,
     /// When runs that wait for something are looked at again, own time.
     pub(super) next_watch: u64,
+    /// When waiting tasks are looked at though nothing happened, own time.
+    next_check: u64,
     /// When tasks may be placed again, own time.
     next_plan: u64,
     /// The time of day minus the own time, in milliseconds.
@@ -102,6 +107,7 @@
             touched: BTreeSet::new(),
             next_renew: 0,
             next_watch: 0,
+            next_check: 0,
             next_plan: 0,
             wall_offset: 0,
         };
@@ -211,6 +217,10 @@
         self.set_wall(now, wall_ms);
         self.begin_turns(now, wall_ms);
         self.watch_runs(now);
+        if now >= self.next_check && !self.pending.is_empty() {
+            self.next_check = now + CHECK_MS;
+            self.changed = true;
+        }
         if self.changed && now >= self.next_plan {
             self.changed = false;
             let waiting = self.plan(now);
--- a/tests/fleet/steps.rs
+++ b/tests/fleet/steps.rs
@@ -115,3 +115,14 @@
         Some(Reply::Gone)
     );
 }
+
+#[test]
+fn an_upstream_that_was_unwell_is_used_again_though_nothing_else_happens() {
+    let mut world = World::new(1, 1);
+    let only = world.upstreams.keys().next().unwrap().clone();
+    world.upstreams.get_mut(&only).unwrap().mood = Mood::Unwell;
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000)]);
+    world.upstreams.get_mut(&only).unwrap().mood = Mood::Sound;
+    world.pass(4_000);
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -47,6 +47,8 @@
     Failing,
     /// Takes calls and never answers; what runs there goes on.
     Silent,
+    /// Says that it is unwell, and does nothing.
+    Unwell,
     /// Loses the first response to each start, and carries it out.
     Mute,
 }
@@ -426,6 +428,7 @@
         let barred = fake.barred.get(&run.task).is_some_and(|n| *n >= run.number);
         let answer = match fake.mood {
             Mood::Silent => Started::Silent,
+            Mood::Unwell => Started::Unwell,
             _ if barred => Started::Barred,
             mood => {
                 let first = !fake.running.contains_key(&run.task);
