--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -276,8 +276,15 @@
                 Ask::State | Ask::Cancel => !self.scheduler.knows(&what.path),
                 Ask::Submit(_) | Ask::Garbled(_) => true,
             };
-        let submits = matches!(what.ask, Ask::Submit(_));
-        (revocable || routed || submits && stalled).then_some(Reply::Unavailable {
+        let stalled = stalled && matches!(what.ask, Ask::Submit(_));
+        if !(revocable || routed || stalled) {
+            return None;
+        }
+        log::info!(
+            "call path={} declined config_age_ms={old} store_stalled={stalled}",
+            what.path
+        );
+        Some(Reply::Unavailable {
             wait_ms: STALLED_WAIT_MS,
         })
     }
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -100,6 +100,24 @@
 impl Host {
     /// Answers a call within `left_ms`.
     pub async fn call(&self, what: Call, left_ms: u64) -> Reply {
+        let started = Instant::now();
+        let path = what.path.clone();
+        let reply = self.ask(what, left_ms).await;
+        if let Reply::Unavailable { .. } | Reply::Unknown = reply {
+            let leader = match &*self.desk.borrow() {
+                Desk::None => "none",
+                Desk::Here(_) => "here",
+                Desk::There(_) => "elsewhere",
+            };
+            log::info!(
+                "call path={path} reply={reply:?} leader={leader} after_ms={}",
+                started.elapsed().as_millis()
+            );
+        }
+        reply
+    }
+
+    async fn ask(&self, what: Call, left_ms: u64) -> Reply {
         let deadline = Instant::now() + Duration::from_millis(left_ms);
         let mut desk = self.desk.clone();
         let patience = Duration::from_millis(LEADERLESS_MS.min(left_ms / 2));
