feat(fleet): refuse at once what no upstream can hold, or what would be of no use

Cause: a job larger than every upstream waited for ever, and a burst was accepted whole though its end would be done after three times its objective, where it is of no use to anybody.

Ruled out: refusing urgent work (it may stop other work) and timed jobs (their load lies elsewhere).

Change: a job is refused with 429 and a time to come back if a task needs more than any upstream or a gang more than all have, or if the open work of the same and higher priority, by learned durations, lasts beyond three times its objective.

--- a/src/fleet/admit.rs
+++ b/src/fleet/admit.rs
@@ -1,10 +1,27 @@
 //! Decides at once which submissions cannot be served.
+//!
+//! The load it answers: bursts of several times what the upstreams can do. A job that would be done
+//! only after three times its objective helps nobody, and those behind it wait for it; its caller
+//! is told when to come back.
 
+use super::model::Need;
 use super::model::Queue;
 use super::model::Spec;
+use super::model::Step;
+use super::plan;
 use super::scheduler::Scheduler;
+use super::task::Job;
 use crate::prelude::*;
 
+/// How many objectives a job may take before it is of no use.
+const USELESS_OBJECTIVES: u64 = 3;
+/// The shortest `Retry-After` of a refusal for load, in milliseconds.
+const MIN_WAIT_MS: u64 = 1_000;
+/// The longest `Retry-After`, in milliseconds: the longest burst that was seen, twice.
+const MAX_WAIT_MS: u64 = 15_000;
+/// `Retry-After` for a job that is larger than all upstreams, in milliseconds.
+const NEVER_WAIT_MS: u64 = 30_000;
+
 /// Why a job is not accepted, and when to come back.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Refusal {
@@ -14,15 +31,101 @@
     pub(super) why: &'static str,
 }
 
+/// What the upstreams of a service have.
+#[derive(Debug, Clone, Copy, Default)]
+struct Fleet {
+    sum: Need,
+    most: Need,
+}
+
 impl Scheduler {
     /// Decides whether a job is refused.
-    pub(super) fn admit(
-        &self,
-        _now: u64,
-        _queue: &Arc<Queue>,
-        _workspace: &Name,
-        _spec: &Spec,
-    ) -> Option<Refusal> {
-        None
+    pub(super) fn admit(&self, queue: &Arc<Queue>, spec: &Spec) -> Option<Refusal> {
+        let fleet = self.fleet(&queue.service);
+        if fleet.sum == Need::default() {
+            // Discovery has not been read yet, or all upstreams are lost for now.
+            return None;
+        }
+        if spec.steps.iter().any(|step| !ever_fits(step, &fleet)) {
+            return Some(Refusal {
+                wait_ms: NEVER_WAIT_MS,
+                why: "no upstream has what a task needs, or all together less than a gang needs",
+            });
+        }
+        if queue.priority == 0 || spec.times > 0 {
+            return None;
+        }
+        let chain = plan::chain_of(&self.durations, &queue.name, spec);
+        let objective = plan::objective_ms(queue, chain);
+        let wait = self.backlog_ms(queue, &fleet);
+        let over = (wait + chain).checked_sub(objective * USELESS_OBJECTIVES)?;
+        Some(Refusal {
+            wait_ms: over.clamp(MIN_WAIT_MS, MAX_WAIT_MS),
+            why: "the work before it takes longer than three times its objective",
+        })
     }
+
+    fn fleet(&self, service: &str) -> Fleet {
+        let mut fleet = Fleet::default();
+        let all = self.upstreams.values();
+        for upstream in all.filter(|up| up.listed && *up.listing.service == *service) {
+            let room = &upstream.listing.room;
+            fleet.sum.add(room);
+            fleet.most.cpu = fleet.most.cpu.max(room.cpu);
+            fleet.most.memory = fleet.most.memory.max(room.memory);
+            fleet.most.accelerators = fleet.most.accelerators.max(room.accelerators);
+        }
+        fleet
+    }
+
+    /// Predicts how long the fleet works on what is open at the same or a higher priority, in
+    /// milliseconds.
+    fn backlog_ms(&self, queue: &Queue, fleet: &Fleet) -> u64 {
+        let Some(config) = &self.config else {
+            return 0;
+        };
+        let open = self.open.iter().filter_map(|id| self.jobs.get(id));
+        let before = open.filter(|job| {
+            let other = config.queue(&job.queue);
+            other.is_some_and(|other| {
+                other.service == queue.service && other.priority <= queue.priority
+            })
+        });
+        before.map(|job| self.rest_ms(job, fleet)).sum()
+    }
+
+    /// Predicts how long the whole fleet would work on what is left of a job, in milliseconds.
+    fn rest_ms(&self, job: &Job, fleet: &Fleet) -> u64 {
+        let mut sum = 0;
+        for turn in job.turns.values() {
+            for (step, stretch) in job.spec.steps.iter().zip(&turn.steps) {
+                if step.lasting || stretch.left == 0 {
+                    continue;
+                }
+                let each = self.durations.predict(&job.queue, step);
+                let need = step.need();
+                let part = |part: u64, whole: u64| {
+                    let work = each
+                        .saturating_mul(part)
+                        .saturating_mul(u64::from(stretch.left));
+                    work.checked_div(whole).unwrap_or(0)
+                };
+                sum += part(need.accelerators, fleet.sum.accelerators)
+                    .max(part(need.cpu, fleet.sum.cpu))
+                    .max(part(need.memory, fleet.sum.memory));
+            }
+        }
+        sum
+    }
+}
+
+fn ever_fits(step: &Step, fleet: &Fleet) -> bool {
+    let need = step.need();
+    let members = if step.gang { u64::from(step.count) } else { 1 };
+    let all = Need {
+        cpu: need.cpu.saturating_mul(members),
+        memory: need.memory.saturating_mul(members),
+        accelerators: need.accelerators.saturating_mul(members),
+    };
+    need.fits(&fleet.most) && all.fits(&fleet.sum)
 }
--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -104,7 +104,7 @@
                 why: "the queue needs advice, which is not supported",
             };
         }
-        if let Some(refusal) = self.admit(now, queue, &workspace, &spec) {
+        if let Some(refusal) = self.admit(queue, &spec) {
             log::info!(
                 "job={id} queue={} refused why={:?} wait_ms={}",
                 queue.name,
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -5,6 +5,7 @@
 //! what is late.
 
 use super::gauge;
+use super::learn::Durations;
 use super::model::Config;
 use super::model::Need;
 use super::model::Queue;
@@ -701,12 +702,17 @@
 }
 
 /// Predicts the longest chain of a job's steps, in milliseconds.
-pub(super) fn chain_ms(durations: &super::learn::Durations, job: &Job) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
-    for step in &job.spec.steps {
+fn chain_ms(durations: &Durations, job: &Job) -> u64 {
+    chain_of(durations, &job.queue, &job.spec)
+}
+
+/// Predicts the longest chain of the steps of a job of `queue`, in milliseconds.
+pub(super) fn chain_of(durations: &Durations, queue: &Name, spec: &Spec) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for step in &spec.steps {
         let before = step.after.iter().filter_map(|&at| ends.get(at as usize));
         let start = before.max().copied().unwrap_or(0);
-        ends.push(start + durations.predict(&job.queue, step));
+        ends.push(start + durations.predict(queue, step));
     }
     ends.into_iter().max().unwrap_or(0)
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, clippy::panic, reason = "helpers of tests")]
 
 mod guarantees;
+mod load;
 mod once;
 mod steps;
 mod world;
--- a/tests/fleet_settings.rs
+++ b/tests/fleet_settings.rs
@@ -1,7 +1,5 @@
 //! The settings of a VM are checked whole, and their page names every key.
 
-#![expect(clippy::unwrap_used, reason = "helpers of tests")]
-
 use trefoilgauge::fleet::settings;
 
 const LEAST: &str = r#"
