test(fleet): make three tests fail without their mechanism

Cause: with the far place, the order of reports or the quarantine taken out, all tests passed: two runs of one task on one upstream were not noticed by the test's world, the guaranteed jobs lay on one rack, and the upstream that fails was hardly chosen.

Change: the world rejects a second run beside a first; the jobs are tied to their racks; upstreams are idle when the next job comes, and starts on the bad one are bounded by 4.

--- a/tests/fleet/guarantees.rs
+++ b/tests/fleet/guarantees.rs
@@ -5,6 +5,7 @@
 use super::world::step;
 use super::world::timing;
 use trefoilgauge::fleet::event::Phase;
+use trefoilgauge::fleet::model::Step;
 
 fn begins(world: &World, id: u64) -> Option<u64> {
     let job = format!("{id:016x}");
@@ -49,12 +50,16 @@
     // One upstream of each rack runs guaranteed work of workspace b.
     for id in 1..=2 {
         world.work_ms.insert(format!("{id:016x}"), 20_000);
-        world.submit("urgent", "key-b", id, vec![gang(1, 8, 20_000)]);
+        let near = Step {
+            data_rack: format!("r1-{}", id - 1),
+            ..gang(1, 8, 20_000)
+        };
+        world.submit("urgent", "key-b", id, vec![near]);
     }
     world.pass(100);
     let racks: Vec<String> = world.begun.iter().map(|b| b.at[..3].to_owned()).collect();
     let asked = world.now;
-    world.submit("urgent", "key-a", 5, vec![gang(2, 8, 1_000)]);
+    world.submit("urgent", "key-a", 5, vec![gang(2, 8, 5_000)]);
     world.pass(timing().reclaim_ms);
     let begun = begins(&world, 5).expect("it begins");
     assert!(
--- a/tests/fleet/steps.rs
+++ b/tests/fleet/steps.rs
@@ -88,15 +88,23 @@
 #[test]
 fn an_upstream_that_fails_everything_does_not_use_up_the_attempts_of_sound_jobs() {
     let mut world = World::new(1, 4);
-    world.upstreams.values_mut().next().unwrap().mood = Mood::Failing;
+    let bad = world.upstreams.keys().next().unwrap().clone();
+    world.upstreams.get_mut(&bad).unwrap().mood = Mood::Failing;
     for id in 1..=12 {
-        world.submit("batch", "key-a", id, vec![step(1, 1, 1_000)]);
+        // All upstreams are idle again when the next job comes.
+        world.work_ms.insert(format!("{id:016x}"), 100);
+        world.submit("batch", "key-a", id, vec![step(1, 1, 100)]);
         world.pass(300);
     }
     world.pass(4_000);
     for id in 1..=12 {
         assert_eq!(world.phase("batch", id), Some(Phase::Completed), "job {id}");
     }
+    let tried = world.begun.iter().filter(|begun| begun.at == bad).count();
+    assert!(
+        tried <= 4,
+        "the upstream that fails was tried {tried} times"
+    );
 }
 
 #[test]
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -431,7 +431,10 @@
             Mood::Unwell => Started::Unwell,
             _ if barred => Started::Barred,
             mood => {
-                let first = !fake.running.contains_key(&run.task);
+                let before = fake.running.get(&run.task).map(|(number, _)| *number);
+                let again = before.is_some_and(|number| number != run.number);
+                assert!(!again, "{run:?} starts while run {before:?} is at work");
+                let first = before.is_none();
                 if first {
                     self.begun.push(Begun {
                         run: run.clone(),
