refactor(fleet): part ends, preemption and the board from runs and plans

Change: ends.rs settles runs, preempt.rs selects and stops victims, board.rs holds the room of a plan.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,9 +6,11 @@
 //! returns rows to store and effects to carry out.
 
 mod admit;
+mod board;
 mod callers;
 pub mod clock;
 pub mod effect;
+mod ends;
 pub mod event;
 pub mod gauge;
 pub mod host;
@@ -18,6 +20,7 @@
 mod place;
 mod plan;
 pub mod ports;
+mod preempt;
 pub mod row;
 mod runs;
 mod scheduler;
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -4,16 +4,15 @@
 //! work goes first and may stop other work; then whatever can still be in time, by priority; then
 //! what is late.
 
+use super::board::Board;
+use super::board::Shape;
 use super::gauge;
 use super::learn::Durations;
 use super::model::Config;
-use super::model::Need;
 use super::model::Queue;
 use super::model::Spec;
 use super::model::Step;
 use super::place;
-use super::place::Racks;
-use super::place::Spot;
 use super::place::Wish;
 use super::scheduler::Scheduler;
 use super::scheduler::run_id;
@@ -21,17 +20,13 @@
 use super::task::Live;
 use super::task::Place;
 use super::task::Stage;
-use super::victims;
-use super::victims::Request;
-use super::victims::Victim;
-use super::victims::Victims;
 use crate::prelude::*;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
 /// How long freed room is kept for the gang that it was freed for, beyond the stop, in
 /// milliseconds: the end of a stop is listed and stored within this.
-const KEEP_MS: u64 = 1_000;
+pub(super) const KEEP_MS: u64 = 1_000;
 /// The share of the accelerators in use below which waiting work goes far from its data soon.
 const IDLE_SHARE: f64 = 0.5;
 /// The wait after which work goes far from its data while the service is idle, in milliseconds.
@@ -40,87 +35,24 @@
 const FAR_PART: u64 = 4;
 /// The part of the accelerators that is left to urgent work, in percent: a burst of it would
 /// otherwise stop as much other work as it takes.
-const URGENT_PERCENT: u64 = 12;
+pub(super) const URGENT_PERCENT: u64 = 12;
 /// Late work goes after all that can be in time; the offset of its rank.
 const LATE_RANK: u32 = 1_000;
 
 /// Tasks of one step that wait.
 #[derive(Debug)]
-struct Waiting {
-    rank: (u32, u64),
-    job: Name,
-    turn: u32,
-    step: u32,
+pub(super) struct Waiting {
+    pub(super) rank: (u32, u64),
+    pub(super) job: Name,
+    pub(super) turn: u32,
+    pub(super) step: u32,
     /// Waiting tasks; all of them if it is a gang.
-    tasks: Vec<u32>,
-    queue: Arc<Queue>,
-    since: u64,
-    predicted: u64,
+    pub(super) tasks: Vec<u32>,
+    pub(super) queue: Arc<Queue>,
+    pub(super) since: u64,
+    pub(super) predicted: u64,
     /// Whether it is urgent work within its workspace's guarantee.
-    entitled: bool,
-}
-
-/// What the planner works on.
-struct Board {
-    spots: Vec<Spot>,
-    index: HashMap<Name, usize>,
-    /// What stops under way give back.
-    ending: HashMap<usize, Need>,
-    /// Work that may be stopped, made when it is first needed.
-    victims: Option<Victims>,
-    racks: Racks,
-    /// Spots of the racks that are left to urgent work.
-    urgent_only: HashSet<usize>,
-    /// What found no place in this plan: rooms only shrink while it is made.
-    failed: HashMap<Shape, u32>,
-    busy_share: f64,
-}
-
-/// What makes two requests for places alike.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Shape {
-    service: Name,
-    label: String,
-    rack: String,
-    spread: u32,
-    gang: bool,
-    one_rack: bool,
-    far: bool,
-    entitled: bool,
-    need: (u64, u64, u64),
-}
-
-impl Board {
-    /// Tells whether one task of `need` for each entry of `spots` fits, with or without what
-    /// stops under way give back.
-    fn holds(&self, spots: &[usize], need: &Need, ending: bool) -> bool {
-        let mut wanted: HashMap<usize, Need> = HashMap::new();
-        for &at in spots {
-            wanted.entry(at).or_default().add(need);
-        }
-        wanted.iter().all(|(at, wanted)| {
-            let spot = &self.spots[*at];
-            let mut room = spot.free;
-            if let Some(more) = self.ending.get(at).filter(|_| ending) {
-                room.add(more);
-            }
-            spot.open && wanted.fits(&room)
-        })
-    }
-
-    /// Takes room for one task of `need` for each entry of `spots`: what is free, then what stops
-    /// under way give back.
-    fn reserve(&mut self, spots: &[usize], need: &Need) {
-        for &at in spots {
-            let spot = &mut self.spots[at];
-            let mut beyond = *need;
-            beyond.sub(&spot.free);
-            spot.free.sub(need);
-            if let Some(ending) = self.ending.get_mut(&at) {
-                ending.sub(&beyond);
-            }
-        }
-    }
+    pub(super) entitled: bool,
 }
 
 impl Scheduler {
@@ -233,45 +165,6 @@
         found
     }
 
-    fn board(&self, now: u64) -> Board {
-        let mut spots = Vec::with_capacity(self.upstreams.len());
-        let mut index = HashMap::with_capacity(self.upstreams.len());
-        let mut ending = HashMap::new();
-        let (mut used, mut room) = (0, 0);
-        for (name, upstream) in &self.upstreams {
-            if !upstream.listed {
-                continue;
-            }
-            index.insert(name.clone(), spots.len());
-            if !upstream.stopping.is_empty() {
-                ending.insert(spots.len(), upstream.ending());
-            }
-            used += upstream.used.accelerators;
-            room += upstream.listing.room.accelerators;
-            spots.push(Spot {
-                name: name.clone(),
-                service: upstream.listing.service.clone(),
-                rack: upstream.rack.clone(),
-                labels: upstream.listing.labels.clone(),
-                free: upstream.free(),
-                room: upstream.listing.room,
-                open: upstream.is_open(now),
-            });
-        }
-        let racks = Racks::new(&spots);
-        let buffer = room * URGENT_PERCENT / 100;
-        Board {
-            urgent_only: racks.freest(&spots, buffer),
-            racks,
-            spots,
-            index,
-            ending,
-            victims: None,
-            failed: HashMap::new(),
-            busy_share: as_share(used, room),
-        }
-    }
-
     fn place_step(&mut self, now: u64, board: &mut Board, wait: &Waiting) {
         let Some(job) = self.jobs.get(&wait.job) else {
             return;
@@ -435,7 +328,7 @@
         stretch.kept.as_ref().map(|(names, _)| names.clone())
     }
 
-    fn keep(&mut self, wait: &Waiting, kept: Option<(Vec<Name>, u64)>) {
+    pub(super) fn keep(&mut self, wait: &Waiting, kept: Option<(Vec<Name>, u64)>) {
         if let Some(stretch) = self
             .jobs
             .get_mut(&wait.job)
@@ -456,133 +349,6 @@
         tasks.iter().flat_map(|task| task.shuns.clone()).collect()
     }
 
-    /// Stops the cheapest work that makes room for a gang, and keeps the room for it.
-    fn preempt(
-        &mut self,
-        now: u64,
-        board: &mut Board,
-        wait: &Waiting,
-        wish: &Wish<'_>,
-        count: u32,
-    ) -> bool {
-        let mut victims = match board.victims.take() {
-            Some(victims) => victims,
-            None => Victims::new(self.victims(now, board)),
-        };
-        let find = |urgent| {
-            let request = Request {
-                wish,
-                count,
-                urgent,
-            };
-            let ending = &board.ending;
-            victims::find(&board.spots, &board.racks, ending, &victims, &request)
-        };
-        let found = find(false).or_else(|| wait.entitled.then(|| find(true)).flatten());
-        let Some(found) = found else {
-            board.victims = Some(victims);
-            return false;
-        };
-        let names: Vec<Name> = found
-            .spots
-            .iter()
-            .map(|&at| board.spots[at].name.clone())
-            .collect();
-        log::info!(
-            "job={} step={} preempts={} spots={names:?} waited_ms={}",
-            wait.job,
-            wait.step,
-            found.victims.len(),
-            now.saturating_sub(wait.since)
-        );
-        gauge::preempted(found.victims.len());
-        let need = wish.step.need();
-        for &index in &found.victims {
-            victims.take(index);
-            let victim = &victims.all[index];
-            log::info!(
-                "job={} step={} preempted by={} waste_core_s={:.0}",
-                victim.job,
-                victim.place.step,
-                wait.job,
-                victim.waste
-            );
-            for (at, freed) in &victim.frees {
-                board.ending.entry(*at).or_default().add(freed);
-            }
-            self.stop_step(now, &victim.job, victim.place);
-        }
-        board.reserve(&found.spots, &need);
-        board.victims = Some(victims);
-        let until = now + self.timing.stop_ms + KEEP_MS;
-        self.keep(wait, Some((names, until)));
-        true
-    }
-
-    /// Lists work that may be stopped, each gang as one: of lower priority, or urgent beyond the
-    /// guarantee of its workspace.
-    fn victims(&self, now: u64, board: &Board) -> Vec<Victim> {
-        let Some(config) = &self.config else {
-            return Vec::new();
-        };
-        let entitled = self.entitled(config);
-        let mut found: HashMap<(Name, u32, u32, Option<u32>), Victim> = HashMap::new();
-        for (name, upstream) in &self.upstreams {
-            let Some(&at) = board.index.get(name) else {
-                continue;
-            };
-            for (run, need) in &upstream.runs {
-                let Some(job) = self.jobs.get(&run.task.job) else {
-                    continue;
-                };
-                let place = super::scheduler::place_of(&run.task);
-                let priority = config.queue(&job.queue).map_or(0, |queue| queue.priority);
-                let live = job.task(place).and_then(|task| task.live.as_ref());
-                let Some(live) = live.filter(|live| live.stage != Stage::Stopping) else {
-                    continue;
-                };
-                let step = &job.spec.steps[place.step as usize];
-                let urgent = priority == 0;
-                if urgent && entitled.contains(&job.id) || step.lasting {
-                    continue;
-                }
-                let single = (!step.gang).then_some(place.index);
-                let key = (run.task.job.clone(), place.turn, place.step, single);
-                let victim = found.entry(key).or_insert_with(|| Victim {
-                    job: run.task.job.clone(),
-                    place,
-                    urgent,
-                    waste: 0.0,
-                    frees: Vec::new(),
-                });
-                let unsaved = now.saturating_sub(live.saved_at.max(live.since));
-                victim.waste += core_seconds(need, unsaved);
-                victim.frees.push((at, *need));
-            }
-        }
-        found.into_values().collect()
-    }
-
-    /// Stops a run, or the whole gang that it belongs to.
-    fn stop_step(&mut self, now: u64, id: &Name, place: Place) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        let gang = job.spec.steps[place.step as usize].gang;
-        let members: Vec<Place> = job
-            .live()
-            .into_iter()
-            .filter(|other| {
-                other.turn == place.turn
-                    && other.step == place.step
-                    && (gang || other.index == place.index)
-            })
-            .collect();
-        for member in members {
-            self.stop(id, member, now);
-        }
-    }
-
     fn start_gang(&mut self, now: u64, board: &mut Board, wait: &Waiting, spots: &[usize]) {
         let pairs: Vec<(u32, usize)> = wait
             .tasks
@@ -722,16 +488,3 @@
     let chain = std::time::Duration::from_millis(chain_ms).mul_f64(queue.stretch.clamp(0.0, 1e3));
     u64::try_from(chain.as_millis()).unwrap_or(u64::MAX) + queue.aim_ms
 }
-
-/// Core-seconds of `ms` of work; an accelerator counts as 8 cores.
-fn core_seconds(need: &Need, ms: u64) -> f64 {
-    let cores = need.cpu / 1_000 + need.accelerators * 8;
-    let total = cores.saturating_mul(ms) / 1_000;
-    u32::try_from(total).map_or(f64::from(u32::MAX), f64::from)
-}
-
-fn as_share(part: u64, whole: u64) -> f64 {
-    let part = u32::try_from(part).unwrap_or(u32::MAX);
-    let whole = u32::try_from(whole.max(1)).unwrap_or(u32::MAX);
-    f64::from(part) / f64::from(whole)
-}
--- /dev/null
+++ b/src/fleet/preempt.rs
@@ -0,0 +1,153 @@
+//! Preemption: stops work of lower priority for urgent gangs, and keeps the room for them.
+
+use super::board::Board;
+use super::gauge;
+use super::model::Need;
+use super::place::Wish;
+use super::plan::KEEP_MS;
+use super::plan::Waiting;
+use super::scheduler::Scheduler;
+use super::task::Place;
+use super::task::Stage;
+use super::victims;
+use super::victims::Request;
+use super::victims::Victim;
+use super::victims::Victims;
+use crate::prelude::*;
+use std::collections::HashMap;
+
+impl Scheduler {
+    /// Stops the cheapest work that makes room for a gang, and keeps the room for it.
+    pub(super) fn preempt(
+        &mut self,
+        now: u64,
+        board: &mut Board,
+        wait: &Waiting,
+        wish: &Wish<'_>,
+        count: u32,
+    ) -> bool {
+        let mut victims = match board.victims.take() {
+            Some(victims) => victims,
+            None => Victims::new(self.victims(now, board)),
+        };
+        let find = |urgent| {
+            let request = Request {
+                wish,
+                count,
+                urgent,
+            };
+            let ending = &board.ending;
+            victims::find(&board.spots, &board.racks, ending, &victims, &request)
+        };
+        let found = find(false).or_else(|| wait.entitled.then(|| find(true)).flatten());
+        let Some(found) = found else {
+            board.victims = Some(victims);
+            return false;
+        };
+        let names: Vec<Name> = found
+            .spots
+            .iter()
+            .map(|&at| board.spots[at].name.clone())
+            .collect();
+        log::info!(
+            "job={} step={} preempts={} spots={names:?} waited_ms={}",
+            wait.job,
+            wait.step,
+            found.victims.len(),
+            now.saturating_sub(wait.since)
+        );
+        gauge::preempted(found.victims.len());
+        let need = wish.step.need();
+        for &index in &found.victims {
+            victims.take(index);
+            let victim = &victims.all[index];
+            log::info!(
+                "job={} step={} preempted by={} waste_core_s={:.0}",
+                victim.job,
+                victim.place.step,
+                wait.job,
+                victim.waste
+            );
+            for (at, freed) in &victim.frees {
+                board.ending.entry(*at).or_default().add(freed);
+            }
+            self.stop_step(now, &victim.job, victim.place);
+        }
+        board.reserve(&found.spots, &need);
+        board.victims = Some(victims);
+        let until = now + self.timing.stop_ms + KEEP_MS;
+        self.keep(wait, Some((names, until)));
+        true
+    }
+
+    /// Lists work that may be stopped, each gang as one: of lower priority, or urgent beyond the
+    /// guarantee of its workspace.
+    pub(super) fn victims(&self, now: u64, board: &Board) -> Vec<Victim> {
+        let Some(config) = &self.config else {
+            return Vec::new();
+        };
+        let entitled = self.entitled(config);
+        let mut found: HashMap<(Name, u32, u32, Option<u32>), Victim> = HashMap::new();
+        for (name, upstream) in &self.upstreams {
+            let Some(&at) = board.index.get(name) else {
+                continue;
+            };
+            for (run, need) in &upstream.runs {
+                let Some(job) = self.jobs.get(&run.task.job) else {
+                    continue;
+                };
+                let place = super::scheduler::place_of(&run.task);
+                let priority = config.queue(&job.queue).map_or(0, |queue| queue.priority);
+                let live = job.task(place).and_then(|task| task.live.as_ref());
+                let Some(live) = live.filter(|live| live.stage != Stage::Stopping) else {
+                    continue;
+                };
+                let step = &job.spec.steps[place.step as usize];
+                let urgent = priority == 0;
+                if urgent && entitled.contains(&job.id) || step.lasting {
+                    continue;
+                }
+                let single = (!step.gang).then_some(place.index);
+                let key = (run.task.job.clone(), place.turn, place.step, single);
+                let victim = found.entry(key).or_insert_with(|| Victim {
+                    job: run.task.job.clone(),
+                    place,
+                    urgent,
+                    waste: 0.0,
+                    frees: Vec::new(),
+                });
+                let unsaved = now.saturating_sub(live.saved_at.max(live.since));
+                victim.waste += core_seconds(need, unsaved);
+                victim.frees.push((at, *need));
+            }
+        }
+        found.into_values().collect()
+    }
+
+    /// Stops a run, or the whole gang that it belongs to.
+    pub(super) fn stop_step(&mut self, now: u64, id: &Name, place: Place) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let gang = job.spec.steps[place.step as usize].gang;
+        let members: Vec<Place> = job
+            .live()
+            .into_iter()
+            .filter(|other| {
+                other.turn == place.turn
+                    && other.step == place.step
+                    && (gang || other.index == place.index)
+            })
+            .collect();
+        for member in members {
+            self.stop(id, member, now);
+        }
+    }
+}
+
+/// Core-seconds of `ms` of work; an accelerator counts as 8 cores.
+fn core_seconds(need: &Need, ms: u64) -> f64 {
+    let cores = need.cpu / 1_000 + need.accelerators * 8;
+    let total = cores.saturating_mul(ms) / 1_000;
+    u32::try_from(total).map_or(f64::from(u32::MAX), f64::from)
+}
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -4,15 +4,13 @@
 //! has barred it does not list it, the upstream's process is gone, or every lease has expired.
 
 use super::effect::Effect;
+use super::ends::keeper_of;
 use super::event::AtWork;
-use super::event::Ended;
 use super::event::Held;
-use super::event::Phase;
 use super::event::Report;
 use super::event::Started;
 use super::event::Stopped;
 use super::gauge;
-use super::model::How;
 use super::model::RunId;
 use super::scheduler::Scheduler;
 use super::scheduler::place_of;
@@ -21,10 +19,8 @@
 use super::task::Place;
 use super::task::Stage;
 use super::timing::DECLINED_MS;
-use super::timing::FAILS_SUSPECT;
 use super::timing::LOOK_MS;
 use super::timing::MISSES_SUSPECT;
-use super::timing::QUARANTINE_MS;
 use super::timing::RETRY_MS;
 use super::timing::START_TRIES;
 use super::upstream::Renewal;
@@ -34,11 +30,9 @@
 const WATCH_MS: u64 = 40;
 /// The wait for a silent upstream grows up to so many times the first one.
 const MAX_BACKOFF: u32 = 4;
-/// Quarantine stops doubling after so many times.
-const QUARANTINE_DOUBLINGS: u32 = 3;
 
 impl Scheduler {
-    fn live_of(&mut self, at: &Name, run: &RunId) -> Option<&mut Live> {
+    pub(super) fn live_of(&mut self, at: &Name, run: &RunId) -> Option<&mut Live> {
         let job = self.jobs.get_mut(&run.task.job)?;
         let live = job.task_mut(place_of(&run.task))?.live.as_mut()?;
         (live.number == run.number && live.at == *at).then_some(live)
@@ -146,7 +140,7 @@
     }
 
     /// Stops a run, and with it the rest of its gang.
-    fn stop_gang(&mut self, now: u64, run: &RunId) {
+    pub(super) fn stop_gang(&mut self, now: u64, run: &RunId) {
         let Some(job) = self.jobs.get(&run.task.job) else {
             return;
         };
@@ -328,7 +322,7 @@
     }
 
     /// Keeps what a run has saved; of a gang, the first task keeps it for all.
-    fn save(&mut self, now: u64, run: &RunId, saved: &str) {
+    pub(super) fn save(&mut self, now: u64, run: &RunId, saved: &str) {
         let Some(job) = self
             .jobs
             .get_mut(&run.task.job)
@@ -362,258 +356,6 @@
                 .is_some_and(|live| live.number > run.number)
     }
 
-    /// Settles the runs that a report omits though it was made after the last word on them.
-    fn find_vanished(&mut self, now: u64, at: &Name, mark: u64, report: &Report) {
-        let Some(upstream) = self.upstreams.get(at) else {
-            return;
-        };
-        let listed = |run: &RunId| report.running.iter().any(|work| work.run == *run);
-        let missing: Vec<RunId> = upstream
-            .runs
-            .keys()
-            .filter(|run| !listed(run))
-            .cloned()
-            .collect();
-        for run in missing {
-            let known = self.live_of(at, &run).and_then(|live| live.known);
-            let stale = self.live_of(at, &run).is_none();
-            if stale || known.is_some_and(|known| known < mark) {
-                self.settle(now, &run, None);
-            }
-        }
-    }
-
-    /// Records how a run ended.
-    fn ended(&mut self, now: u64, at: &Name, end: &Ended) {
-        let run = &end.run;
-        let Some(live) = self.live_of(at, run).map(|live| live.clone()) else {
-            return;
-        };
-        gauge::ended(end);
-        let place = place_of(&run.task);
-        self.save(now, run, &end.saved);
-        if end.how != How::Done {
-            log::info!(
-                "job={} step={} index={} run={} upstream={at} ended={:?} after_ms={}",
-                run.task.job,
-                place.step,
-                place.index,
-                run.number,
-                end.how,
-                now.saturating_sub(live.since)
-            );
-        }
-        self.settle(now, run, Some(end.how));
-        match end.how {
-            How::Done => self.done(now, at, run, &live),
-            How::Failed => self.failed(now, at, run),
-            How::Alone | How::Lapsed | How::Stopped | How::Broken => {
-                if end.how != How::Broken || live.stage != Stage::Stopping {
-                    self.stop_rest(now, run);
-                }
-            }
-        }
-    }
-
-    /// Stops what is left of a gang that lost a member.
-    fn stop_rest(&mut self, now: u64, run: &RunId) {
-        let gang = self
-            .jobs
-            .get(&run.task.job)
-            .and_then(|job| job.spec.steps.get(run.task.step as usize))
-            .is_some_and(|step| step.gang);
-        if gang {
-            self.stop_gang(now, run);
-        }
-    }
-
-    /// Settles a run: it is certain that it does not run, and what it took is free.
-    pub(super) fn settle(&mut self, now: u64, run: &RunId, how: Option<How>) {
-        let place = place_of(&run.task);
-        let Some(job) = self.jobs.get_mut(&run.task.job) else {
-            self.release_everywhere(run);
-            return;
-        };
-        let Some(task) = job.task_mut(place) else {
-            self.release_everywhere(run);
-            return;
-        };
-        let Some(live) = task.live.take_if(|live| live.number == run.number) else {
-            self.release_everywhere(run);
-            return;
-        };
-        if let Some(upstream) = self.upstreams.get_mut(&live.at) {
-            upstream.release(run);
-        }
-        if how.is_none() {
-            gauge::settled();
-            log::info!(
-                "job={} step={} index={} run={} upstream={} settled as not running stage={:?}",
-                run.task.job,
-                place.step,
-                place.index,
-                run.number,
-                live.at,
-                live.stage
-            );
-        }
-        if let Some(step) = job
-            .turns
-            .get_mut(&place.turn)
-            .and_then(|turn| turn.steps.get_mut(place.step as usize))
-        {
-            step.ready = Some(now);
-        }
-        let finished = job.closed.is_some();
-        self.dirty.insert(run.task.job.clone());
-        if !finished {
-            self.pending.insert(run.task.job.clone());
-        }
-        self.changed = true;
-    }
-
-    fn release_everywhere(&mut self, run: &RunId) {
-        for upstream in self.upstreams.values_mut() {
-            upstream.release(run);
-        }
-    }
-
-    fn done(&mut self, now: u64, at: &Name, run: &RunId, live: &Live) {
-        if let Some(upstream) = self.upstreams.get_mut(at) {
-            upstream.failed.clear();
-            upstream.quarantines = 0;
-        }
-        let place = place_of(&run.task);
-        let Some(job) = self.jobs.get_mut(&run.task.job) else {
-            return;
-        };
-        let Some(step) = job.spec.steps.get(place.step as usize).cloned() else {
-            return;
-        };
-        let Some(turn) = job.turns.get_mut(&place.turn) else {
-            return;
-        };
-        let Some(stretch) = turn.steps.get_mut(place.step as usize) else {
-            return;
-        };
-        if step.lasting {
-            return;
-        }
-        if step.gang {
-            for task in &mut stretch.tasks {
-                task.done = true;
-            }
-        } else if let Some(task) = stretch.tasks.get_mut(place.index as usize) {
-            task.done = true;
-        }
-        stretch.left = super::task::count_left(&stretch.tasks);
-        if run.number == 1 {
-            let queue = job.queue.clone();
-            self.durations
-                .record(&queue, &step, now.saturating_sub(live.since));
-        }
-        self.advance(now, &run.task.job);
-    }
-
-    /// Drops occurrences that are done, and completes the job after the last one.
-    fn advance(&mut self, now: u64, id: &Name) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        if job.closed.is_some() {
-            return;
-        }
-        let settled = |turn: &super::task::Turn| {
-            let mut tasks = turn.steps.iter().flat_map(|step| &step.tasks);
-            turn.is_done() && tasks.all(|task| task.live.is_none())
-        };
-        let all_done = job.turns.values().all(super::task::Turn::is_done);
-        let over = job.next_turn >= job.times();
-        job.turns.retain(|_, turn| !settled(turn));
-        self.dirty.insert(id.clone());
-        self.pending.insert(id.clone());
-        if over && all_done {
-            self.close(id, Phase::Completed, now);
-        }
-    }
-
-    fn failed(&mut self, now: u64, at: &Name, run: &RunId) {
-        self.blame(now, at, &run.task.job);
-        let place = place_of(&run.task);
-        let attempts = self
-            .jobs
-            .get(&run.task.job)
-            .and_then(|job| self.config.as_ref()?.queue(&job.queue))
-            .map_or(u32::MAX, |queue| queue.attempts.max(1));
-        let Some(job) = self.jobs.get_mut(&run.task.job) else {
-            return;
-        };
-        let Some(step) = job.spec.steps.get(place.step as usize) else {
-            return;
-        };
-        let lasting = step.lasting;
-        if let Some(task) = job.task_mut(place)
-            && !task.shuns.contains(at)
-        {
-            task.shuns.push(at.clone());
-        }
-        let counter = keeper_of(job, place);
-        let Some(task) = job.task_mut(counter) else {
-            return;
-        };
-        if task.failed_run < run.number {
-            task.failed_run = run.number;
-            task.fails += 1;
-        }
-        let spent = task.fails >= attempts && !lasting && !task.done;
-        self.dirty.insert(run.task.job.clone());
-        if spent {
-            self.close(&run.task.job, Phase::Failed, now);
-        } else {
-            self.stop_rest(now, run);
-        }
-    }
-
-    /// Counts a failure against an upstream, and shuts it if several jobs failed there in a row.
-    fn blame(&mut self, now: u64, at: &Name, job: &Name) {
-        let Some(upstream) = self.upstreams.get_mut(at) else {
-            return;
-        };
-        if !upstream.failed.contains(job) {
-            upstream.failed.push(job.clone());
-        }
-        if upstream.failed.len() >= FAILS_SUSPECT as usize {
-            let doubled = upstream.quarantines.min(QUARANTINE_DOUBLINGS);
-            let wait = QUARANTINE_MS << doubled;
-            upstream.quarantines += 1;
-            upstream.failed.truncate(1);
-            upstream.shut(now + wait);
-            log::warn!("upstream={at} fails what it starts; no new work for {wait} ms");
-        }
-    }
-
-    /// Settles everything at an upstream whose process is gone.
-    fn life_ended(&mut self, now: u64, at: &Name) {
-        let Some(upstream) = self.upstreams.get_mut(at) else {
-            return;
-        };
-        log::warn!("upstream={at} gone: its address answers for another process");
-        upstream.listed = false;
-        self.settle_all(now, at);
-    }
-
-    /// Settles all runs at an upstream.
-    fn settle_all(&mut self, now: u64, at: &Name) {
-        let Some(upstream) = self.upstreams.get(at) else {
-            return;
-        };
-        let runs: Vec<RunId> = upstream.runs.keys().cloned().collect();
-        for run in runs {
-            self.settle(now, &run, None);
-            self.stop_rest(now, &run);
-        }
-    }
-
     /// Looks at runs that wait for something: expired leases, stops without a response.
     pub(super) fn watch_runs(&mut self, now: u64) {
         if now < self.next_watch {
@@ -703,14 +445,3 @@
         self.out.free.push(Effect::Resign { why });
     }
 }
-
-/// Returns the task that keeps what `place` saves and counts its failures: a gang has one.
-fn keeper_of(job: &super::task::Job, place: Place) -> Place {
-    let step = job.spec.steps.get(place.step as usize);
-    let index = if step.is_some_and(|step| step.gang) {
-        0
-    } else {
-        place.index
-    };
-    Place { index, ..place }
-}
