refactor(fleet): drop four settings that nothing reads

Cause: the wait of gangs, the factor for far work, and the times of saving and resuming were read, checked and documented, but no decision used them.

Ruled out: using them now (starts are tried for 1.5 s, below the wait of gangs of any deployment).

--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -13,7 +13,7 @@
 pub type Result<T> = std::result::Result<T, Findings>;
 
 /// The settings of a process.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
     /// The name of this VM.
     pub vm: Name,
@@ -88,12 +88,8 @@
         config_fresh_ms: apply_ms * 3 / 5,
         timing: Timing {
             max_lease_ms: fields.number_or("max_lease_ms", 6_000, 500..=MAX_MS, &mut findings),
-            gang_wait_ms: fields.number_or("gang_wait_ms", 3_000, 100..=MAX_MS, &mut findings),
             stop_ms: fields.number_or("stop_ms", 200, 0..=MAX_MS, &mut findings),
             keep_ms: thousandths(&mut fields, "keep_s", 120_000, &mut findings),
-            far_factor: seconds(&mut fields, "far_factor", 3.0, &mut findings),
-            save_ms: thousandths(&mut fields, "save_s", 2_000, &mut findings),
-            restore_ms: fields.number_or("restore_ms", 600, 0..=MAX_MS, &mut findings),
             reclaim_ms: fields.number_or("reclaim_ms", 2_700, 0..=MAX_MS, &mut findings),
         },
     };
--- a/src/fleet/timing.rs
+++ b/src/fleet/timing.rs
@@ -1,22 +1,14 @@
 //! The figures that the scheduler's decisions use.
 
-/// Bounds of the deployment, all but the factor in milliseconds.
-#[derive(Debug, Clone, PartialEq)]
+/// Bounds of the deployment, in milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Timing {
     /// The longest lease that an upstream grants.
     pub max_lease_ms: u64,
-    /// How long a gang's members wait for each other.
-    pub gang_wait_ms: u64,
     /// How long a stop takes at most.
     pub stop_ms: u64,
     /// How long a closed job can be asked for.
     pub keep_ms: u64,
-    /// How many times as long a task takes away from its data or its gang's rack.
-    pub far_factor: f64,
-    /// How often a task that saves its progress does so.
-    pub save_ms: u64,
-    /// How long a resumed task takes before it works on.
-    pub restore_ms: u64,
     /// How long after its acknowledgement guaranteed work must have begun.
     pub reclaim_ms: u64,
 }
