refactor(fleet): stop a run and its gang in one place

Cause: runs.rs (stop_gang) and preempt.rs (stop_step) each gathered the members of a gang and stopped them; a sum in victims.rs looked its entry up twice.

Ruled out: joining the decoding of the events that carry a clock (three arms of one match, each with its own call).

Change: stop_gang calls stop_step, which takes over the bounds check of the other; the sum is one line. The order of stops and what is stopped stay as they were.

--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -129,7 +129,8 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let gang = job.spec.steps[place.step as usize].gang;
+        let step = job.spec.steps.get(place.step as usize);
+        let gang = step.is_some_and(|step| step.gang);
         let members: Vec<Place> = job
             .live()
             .into_iter()
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -141,25 +141,7 @@
 
     /// Stops a run, and with it the rest of its gang.
     pub(super) fn stop_gang(&mut self, now: u64, run: &RunId) {
-        let Some(job) = self.jobs.get(&run.task.job) else {
-            return;
-        };
-        let place = place_of(&run.task);
-        let gang = job
-            .spec
-            .steps
-            .get(place.step as usize)
-            .is_some_and(|step| step.gang);
-        let members: Vec<Place> = if gang {
-            let all = job.live().into_iter();
-            all.filter(|other| other.turn == place.turn && other.step == place.step)
-                .collect()
-        } else {
-            vec![place]
-        };
-        for member in members {
-            self.stop(&run.task.job, member, now);
-        }
+        self.stop_step(now, &run.task.job, place_of(&run.task));
     }
 
     /// Orders a live run to stop.
--- a/src/fleet/victims.rs
+++ b/src/fleet/victims.rs
@@ -73,10 +73,7 @@
                 }
                 let here = victim.frees.iter().filter(|(spot, _)| spot == at);
                 let gain: u64 = here.map(|(_, need)| need.accelerators.max(1)).sum();
-                gains.entry(index).or_insert(0);
-                if let Some(sum) = gains.get_mut(&index) {
-                    *sum += gain;
-                }
+                *gains.entry(index).or_insert(0) += gain;
             }
         }
         let mut order: Vec<(f64, usize)> = gains
