perf(fleet): preempt what loses least, and lasting tasks within their limit

A stop makes tasks that can save do so, but their progress since the last report counted as lost; and victims were gathered by waste over a whole cell, so an upstream with one old and seven young tasks was never found cheaper than one with eight of middle age. Lasting tasks were never stopped, so guaranteed work did not begin where they held the room.

Change: a victim that saves wastes only the time to resume (restore_ms). Lasting tasks are victims, at most as many as may be missed at once.

Timed and lasting jobs have tests now; they found the missing preemption and nothing else.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod effect;
 mod ends;
 pub mod event;
+mod evict;
 pub mod gauge;
 pub mod host;
 pub mod journal;
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -1,16 +1,17 @@
 //! Preemption: stops work of lower priority for urgent gangs, and keeps the room for them.
 
 use super::board::Board;
+use super::evict;
+use super::evict::Request;
 use super::gauge;
 use super::model::Need;
 use super::place::Wish;
 use super::plan::KEEP_MS;
 use super::plan::Waiting;
 use super::scheduler::Scheduler;
+use super::task::Job;
 use super::task::Place;
 use super::task::Stage;
-use super::victims;
-use super::victims::Request;
 use super::victims::Victim;
 use super::victims::Victims;
 use crate::prelude::*;
@@ -28,7 +29,7 @@
     ) -> bool {
         let mut victims = match board.victims.take() {
             Some(victims) => victims,
-            None => Victims::new(self.victims(now, board)),
+            None => self.victims(now, board),
         };
         let find = |urgent| {
             let request = Request {
@@ -37,7 +38,7 @@
                 urgent,
             };
             let ending = &board.ending;
-            victims::find(&board.spots, &board.racks, ending, &victims, &request)
+            evict::find(&board.spots, &board.racks, ending, &victims, &request)
         };
         let found = find(false).or_else(|| wait.entitled.then(|| find(true)).flatten());
         let Some(found) = found else {
@@ -82,10 +83,11 @@
 
     /// Lists work that may be stopped, each gang as one: of lower priority, or urgent beyond the
     /// guarantee of its workspace.
-    pub(super) fn victims(&self, now: u64, board: &Board) -> Vec<Victim> {
+    pub(super) fn victims(&self, now: u64, board: &Board) -> Victims {
         let Some(config) = &self.config else {
-            return Vec::new();
+            return Victims::default();
         };
+        let mut limits = Limits::default();
         let entitled = self.entitled(config);
         let mut found: HashMap<(Name, u32, u32, Option<u32>), Victim> = HashMap::new();
         for (name, upstream) in &self.upstreams {
@@ -104,7 +106,7 @@
                 };
                 let step = &job.spec.steps[place.step as usize];
                 let urgent = priority == 0;
-                if urgent && entitled.contains(&job.id) || step.lasting {
+                if urgent && entitled.contains(&job.id) {
                     continue;
                 }
                 let single = (!step.gang).then_some(place.index);
@@ -113,15 +115,22 @@
                     job: run.task.job.clone(),
                     place,
                     urgent,
+                    limited: limits.of(job, place),
                     waste: 0.0,
                     frees: Vec::new(),
                 });
                 let unsaved = now.saturating_sub(live.saved_at.max(live.since));
-                victim.waste += core_seconds(need, unsaved);
+                // A stop saves the progress of tasks that can: only the way back is lost.
+                let lost = if step.saves {
+                    unsaved.min(self.timing.restore_ms)
+                } else {
+                    unsaved
+                };
+                victim.waste += core_seconds(need, lost);
                 victim.frees.push((at, *need));
             }
         }
-        found.into_values().collect()
+        Victims::new(found.into_values().collect(), limits.allowed)
     }
 
     /// Stops a run, or the whole gang that it belongs to.
@@ -146,6 +155,31 @@
     }
 }
 
+/// How many tasks of each lasting step may be stopped now.
+#[derive(Debug, Default)]
+struct Limits {
+    index: HashMap<(Name, u32, u32), usize>,
+    allowed: Vec<u32>,
+}
+
+impl Limits {
+    /// Returns the position of the limit that a task is under, if any.
+    fn of(&mut self, job: &Job, place: Place) -> Option<usize> {
+        let step = job.spec.steps.get(place.step as usize)?;
+        if !step.lasting || step.may_miss == 0 {
+            return None;
+        }
+        let key = (job.id.clone(), place.turn, place.step);
+        let next = self.allowed.len();
+        let at = *self.index.entry(key).or_insert(next);
+        if at == next {
+            let away = job.away(place);
+            self.allowed.push(step.may_miss.saturating_sub(away));
+        }
+        Some(at)
+    }
+}
+
 /// Core-seconds of `ms` of work; an accelerator counts as 8 cores.
 fn core_seconds(need: &Need, ms: u64) -> f64 {
     let cores = need.cpu / 1_000 + need.accelerators * 8;
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -90,6 +90,7 @@
             max_lease_ms: fields.number_or("max_lease_ms", 6_000, 500..=MAX_MS, &mut findings),
             stop_ms: fields.number_or("stop_ms", 200, 0..=MAX_MS, &mut findings),
             keep_ms: thousandths(&mut fields, "keep_s", 120_000, &mut findings),
+            restore_ms: fields.number_or("restore_ms", 600, 0..=MAX_MS, &mut findings),
             reclaim_ms: fields.number_or("reclaim_ms", 2_700, 0..=MAX_MS, &mut findings),
         },
     };
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -206,6 +206,20 @@
         found
     }
 
+    /// Counts the tasks of a step that are not at work.
+    pub(super) fn away(&self, place: Place) -> u32 {
+        let step = self
+            .turns
+            .get(&place.turn)
+            .and_then(|turn| turn.steps.get(place.step as usize));
+        let tasks = step.map_or(&[][..], |step| &step.tasks);
+        let works = |task: &Task| {
+            let live = task.live.as_ref();
+            live.is_some_and(|live| live.stage == Stage::Running && live.percent >= AT_WORK_PERCENT)
+        };
+        tasks.iter().map(|task| u32::from(!works(task))).sum()
+    }
+
     /// Tells the state that callers see.
     pub(super) fn phase(&self) -> Phase {
         match self.closed {
@@ -345,6 +359,8 @@
     }
 }
 
+/// The progress from which a task that lasts is at work, in percent.
+const AT_WORK_PERCENT: u32 = 100;
 /// The greatest age that a restored job is given, in milliseconds: beyond it the time of day has
 /// jumped.
 const MAX_AGE_MS: u64 = 600_000;
--- a/src/fleet/timing.rs
+++ b/src/fleet/timing.rs
@@ -9,6 +9,8 @@
     pub stop_ms: u64,
     /// How long a closed job can be asked for.
     pub keep_ms: u64,
+    /// How long a task needs to resume from what it saved.
+    pub restore_ms: u64,
     /// How long after its acknowledgement guaranteed work must have begun.
     pub reclaim_ms: u64,
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,7 +3,10 @@
 #![expect(clippy::unwrap_used, clippy::panic, reason = "helpers of tests")]
 
 mod guarantees;
+mod lasting;
 mod load;
 mod once;
+mod preempt;
 mod steps;
+mod timed;
 mod world;
--- /dev/null
+++ b/tests/fleet/preempt.rs
@@ -0,0 +1,60 @@
+//! What is stopped for urgent gangs while everything is in use.
+
+use super::world::World;
+use super::world::gang;
+use super::world::step;
+use trefoilgauge::fleet::model::Step;
+
+const LONG_MS: u64 = 60_000;
+
+/// Begins a job of single tasks on one rack, with one upstream a rack.
+fn occupy(world: &mut World, id: u64, count: u32, rack: u32, saves: bool) {
+    world.work_ms.insert(format!("{id:016x}"), LONG_MS);
+    let step = Step {
+        data_rack: format!("r1-{rack}"),
+        saves,
+        // With so short an estimate it soon takes what is left to urgent work.
+        ..step(count, 1, 100)
+    };
+    world.submit("batch", "key-b", id, vec![step]);
+    world.pass(500);
+    assert_eq!(world.at_work(id).len(), count as usize);
+}
+
+/// Submits an urgent task that needs a whole upstream, and waits until it is at work.
+fn urgent(world: &mut World, id: u64) {
+    let anywhere = Step {
+        one_rack: false,
+        ..gang(1, 8, 1_000)
+    };
+    world.submit("urgent", "key-a", id, vec![anywhere]);
+    world.pass(500);
+    assert_eq!(world.at_work(id).len(), 1);
+}
+
+#[test]
+fn work_that_is_saved_on_a_stop_goes_before_work_that_is_lost() {
+    let mut world = World::new(2, 1);
+    occupy(&mut world, 1, 8, 0, true);
+    world.pass(8_000);
+    occupy(&mut world, 2, 8, 1, false);
+    world.pass(2_000);
+    urgent(&mut world, 3);
+    assert_eq!(world.at_work(1).len(), 0, "what was saved goes on later");
+    assert_eq!(world.at_work(2).len(), 8);
+}
+
+#[test]
+fn the_upstream_that_is_cheapest_to_clear_is_cleared() {
+    let mut world = World::new(2, 1);
+    occupy(&mut world, 1, 1, 0, false);
+    world.pass(7_000);
+    occupy(&mut world, 2, 8, 1, false);
+    world.pass(3_000);
+    occupy(&mut world, 3, 7, 0, false);
+    world.pass(1_000);
+    // 11 s of one task and 1 s of seven are lost there, and 4 s of eight on the other.
+    urgent(&mut world, 4);
+    assert_eq!(world.at_work(2).len(), 8);
+    assert_eq!(world.at_work(1).len() + world.at_work(3).len(), 0);
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -96,6 +96,7 @@
         max_lease_ms: 6_000,
         stop_ms: 200,
         keep_ms: 120_000,
+        restore_ms: 600,
         reclaim_ms: 2_700,
     }
 }
@@ -235,10 +236,24 @@
         steps: Vec<Step>,
     ) -> Option<Reply> {
         let spec = Spec {
-            text: "text".to_owned(),
             steps,
             ..Spec::default()
         };
+        self.submit_spec(queue, key, id, spec)
+    }
+
+    /// Submits a whole job and returns the reply.
+    pub(crate) fn submit_spec(
+        &mut self,
+        queue: &str,
+        key: &str,
+        id: u64,
+        spec: Spec,
+    ) -> Option<Reply> {
+        let spec = Spec {
+            text: "text".to_owned(),
+            ..spec
+        };
         self.call(queue, key, id, Ask::Submit(Arc::new(spec)))
     }
 
@@ -302,7 +317,7 @@
                 number: *number,
             },
             saved: String::new(),
-            percent: 1,
+            percent: 100,
         });
         Event::Held {
             at: at.clone(),
@@ -420,7 +435,8 @@
     fn start(&mut self, at: &Name, run: RunId, until_ms: u64) {
         let now = self.now;
         let fake = self.upstreams.get_mut(at).unwrap();
-        let work = self.work_ms.get(&*run.task.job).copied().unwrap_or(1_000);
+        let work = self.work_ms.get(&*run.task.job).copied();
+        let work = work.unwrap_or(1_000);
         let barred = fake.barred.get(&run.task).is_some_and(|n| *n >= run.number);
         let answer = match fake.mood {
             Mood::Silent => Started::Silent,
@@ -539,7 +555,7 @@
                     number: *number,
                 },
                 saved: String::new(),
-                percent: 1,
+                percent: 100,
             });
             let report = Report {
                 born: fake.listing.born,
