feat(fleet): move work off upstreams that are about to leave

Discovery says how long a draining upstream stays at least, and nothing read it.

Ruled out: stopping all work on draining upstreams.

Change: the entry's remaining time is decoded; evacuate.rs stops a run that is predicted to end later, by its progress or else by durations: at once if its progress is lost anyway, just in time if it is saved or the task lasts.

Four of the six tests in evacuate fail without the call; the other two say what must stay.

--- /dev/null
+++ b/src/fleet/evacuate.rs
@@ -0,0 +1,102 @@
+//! Moves work off upstreams that are about to leave.
+//!
+//! The load it answers: upstreams taken away at short notice. Work that is lost with its upstream
+//! starts again only after its lease has expired, so a stop in time saves that wait, and for work
+//! that can be saved its progress.
+
+use super::model::RunId;
+use super::scheduler::Scheduler;
+use super::scheduler::place_of;
+use super::task::Place;
+use super::task::Stage;
+use crate::prelude::*;
+
+/// The time for an order to stop to arrive and its end to be listed, in milliseconds: one look at
+/// all runs, and an order that is sent again.
+const ORDER_MS: u64 = 400;
+/// The progress from which on it tells the end better than durations do, in percent.
+const TELLING_PERCENT: u32 = 10;
+
+/// What is known of a run on an upstream that leaves.
+#[derive(Debug, Clone, Copy)]
+struct Outlook {
+    /// When the upstream may be gone, own time.
+    leaves: u64,
+    /// When the run is predicted to end, own time; none if it lasts.
+    ends: Option<u64>,
+    /// Whether a stop saves its progress.
+    saves: bool,
+    /// The longest time that a stop takes, in milliseconds.
+    stop_ms: u64,
+}
+
+impl Outlook {
+    /// Tells whether the run is to be stopped now: one whose progress is lost anyway at once, any
+    /// other as late as possible.
+    fn is_due(&self, now: u64) -> bool {
+        if self.ends.is_some_and(|ends| ends <= self.leaves) {
+            return false;
+        }
+        let last = self.leaves.saturating_sub(self.stop_ms + ORDER_MS);
+        now >= last || self.ends.is_some() && !self.saves
+    }
+}
+
+impl Scheduler {
+    /// Stops the runs that cannot end before their upstream leaves.
+    pub(super) fn evacuate(&mut self, now: u64) {
+        let mut due: Vec<(Name, Place)> = Vec::new();
+        for (at, upstream) in &self.upstreams {
+            let Some(leaves) = upstream.leaves_at().filter(|_| !upstream.runs.is_empty()) else {
+                continue;
+            };
+            for run in upstream.runs.keys() {
+                let Some(outlook) = self.outlook(now, run, leaves) else {
+                    continue;
+                };
+                if outlook.is_due(now) {
+                    log::info!(
+                        "job={} step={} index={} run={} upstream={at} leaves_in_ms={} ends_in_ms={:?} moved",
+                        run.task.job,
+                        run.task.step,
+                        run.task.index,
+                        run.number,
+                        leaves.saturating_sub(now),
+                        outlook.ends.map(|ends| ends.saturating_sub(now))
+                    );
+                    due.push((run.task.job.clone(), place_of(&run.task)));
+                }
+            }
+        }
+        for (id, place) in due {
+            self.stop_step(now, &id, place);
+        }
+    }
+
+    fn outlook(&self, now: u64, run: &RunId, leaves: u64) -> Option<Outlook> {
+        let job = self.jobs.get(&run.task.job)?;
+        let step = job.spec.steps.get(run.task.step as usize)?;
+        let live = job.task(place_of(&run.task))?.live.as_ref()?;
+        if live.number != run.number || live.stage != Stage::Running {
+            return None;
+        }
+        let worked = now.saturating_sub(live.since);
+        let rest = if live.percent >= TELLING_PERCENT {
+            let percent = u64::from(live.percent.min(100));
+            live.moved.saturating_sub(live.since) * (100 - percent) / percent
+        } else {
+            self.durations.predict(&job.queue, step)
+        };
+        let ends = if live.percent >= TELLING_PERCENT {
+            live.moved + rest
+        } else {
+            live.since + rest.max(worked)
+        };
+        Some(Outlook {
+            leaves,
+            ends: (!step.lasting).then_some(ends),
+            saves: step.saves,
+            stop_ms: self.timing.stop_ms,
+        })
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod effect;
 mod ends;
+mod evacuate;
 pub mod event;
 mod evict;
 pub mod gauge;
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -266,6 +266,8 @@
     pub clock_ms: u64,
     /// Whether it takes new work.
     pub ready: bool,
+    /// How long it stays at least from `clock_ms` on if it is about to leave, in milliseconds.
+    pub left_ms: Option<u64>,
 }
 
 impl Listing {
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -344,6 +344,7 @@
             return;
         }
         self.next_watch = now + WATCH_MS;
+        self.evacuate(now);
         let expired: Vec<Name> = self
             .upstreams
             .iter()
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -116,6 +116,7 @@
             labels: Vec::new(),
             clock_ms: 0,
             ready: false,
+            left_ms: None,
         };
         Self {
             listed: false,
@@ -141,6 +142,14 @@
         until
     }
 
+    /// Returns the own time from which on it may be gone, if it is about to leave.
+    pub(super) fn leaves_at(&self) -> Option<u64> {
+        let left = self.listing.left_ms?;
+        let end = self.listing.clock_ms + left;
+        let ahead = end.saturating_sub(self.clock.clock_ms);
+        Some(self.clock.at + ahead)
+    }
+
     /// Tells whether it takes new work now.
     pub(super) fn is_open(&self, now: u64) -> bool {
         self.listed && self.listing.ready && self.misses == 0 && now >= self.shut_until
--- /dev/null
+++ b/tests/fleet/evacuate.rs
@@ -0,0 +1,100 @@
+//! Work leaves upstreams that are about to leave.
+
+use super::world::World;
+use super::world::gang;
+use super::world::step;
+use trefoilgauge::fleet::event::Phase;
+use trefoilgauge::fleet::model::Step;
+use trefoilgauge::prelude::*;
+
+const NOTICE_MS: u64 = 2_500;
+
+/// Begins a job and returns the upstream of its first task.
+fn begin(world: &mut World, id: u64, work_ms: u64, step: Step) -> Name {
+    world.work_ms.insert(format!("{id:016x}"), work_ms);
+    let step = Step {
+        estimate_ms: work_ms,
+        ..step
+    };
+    world.submit("batch", "key-a", id, vec![step]);
+    world.pass(500);
+    world.at_work(id)[0].2.clone()
+}
+
+#[test]
+fn work_that_cannot_end_before_its_upstream_leaves_starts_elsewhere_at_once() {
+    let mut world = World::new(1, 3);
+    let at = begin(&mut world, 1, 8_000, step(1, 1, 0));
+    world.leave(&at, NOTICE_MS);
+    world.pass(500);
+    assert_eq!(world.begun.len(), 2);
+    assert_ne!(world.begun[1].at, at);
+    world.pass(8_500);
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+}
+
+#[test]
+fn work_that_can_be_saved_stays_until_shortly_before_its_upstream_leaves() {
+    let mut world = World::new(1, 3);
+    let saves = Step {
+        saves: true,
+        ..step(1, 1, 0)
+    };
+    let at = begin(&mut world, 1, 8_000, saves);
+    let told = world.now;
+    world.leave(&at, NOTICE_MS);
+    world.pass(NOTICE_MS + 100);
+    assert_eq!(world.begun.len(), 2);
+    let moved = world.begun[1].time - told;
+    assert!((1_500..NOTICE_MS).contains(&moved), "{moved}");
+}
+
+#[test]
+fn work_that_ends_in_time_is_left_alone() {
+    let mut world = World::new(1, 3);
+    let at = begin(&mut world, 1, 2_000, step(1, 1, 0));
+    world.leave(&at, NOTICE_MS);
+    world.pass(NOTICE_MS);
+    assert_eq!(world.begun.len(), 1);
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+}
+
+#[test]
+fn the_progress_counts_more_than_a_wrong_estimate() {
+    let mut world = World::new(1, 3);
+    world.work_ms.insert(format!("{:016x}", 1), 4_000);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 30_000)]);
+    world.pass(2_500);
+    let at = world.at_work(1)[0].2.clone();
+    world.leave(&at, NOTICE_MS);
+    world.pass(NOTICE_MS);
+    assert_eq!(world.begun.len(), 1);
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+}
+
+#[test]
+fn a_gang_moves_whole_when_one_of_its_upstreams_leaves() {
+    let mut world = World::new(2, 3);
+    let at = begin(&mut world, 1, 8_000, gang(2, 8, 0));
+    world.leave(&at, NOTICE_MS);
+    world.pass(1_000);
+    let now = world.at_work(1);
+    assert_eq!(now.len(), 2);
+    assert!(now.iter().all(|(_, run, there)| *run == 2 && *there != at));
+}
+
+#[test]
+fn a_task_that_lasts_moves_before_its_upstream_leaves() {
+    let mut world = World::new(1, 3);
+    let lasting = Step {
+        lasting: true,
+        may_miss: 1,
+        ..step(3, 1, 0)
+    };
+    let at = begin(&mut world, 1, 10_000_000, lasting);
+    world.leave(&at, NOTICE_MS);
+    world.pass(NOTICE_MS + 200);
+    let now = world.at_work(1);
+    assert_eq!(now.len(), 3);
+    assert!(now.iter().all(|(_, _, there)| *there != at));
+}
--- /dev/null
+++ b/tests/fleet/fake.rs
@@ -0,0 +1,160 @@
+//! An upstream that a test controls.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use trefoilgauge::fleet::event::AtWork;
+use trefoilgauge::fleet::event::Ended;
+use trefoilgauge::fleet::event::Report;
+use trefoilgauge::fleet::model::How;
+use trefoilgauge::fleet::model::Listing;
+use trefoilgauge::fleet::model::Need;
+use trefoilgauge::fleet::model::RunId;
+use trefoilgauge::fleet::model::TaskId;
+
+/// Tasks that work longer than this last: they are at work in full from their start.
+const LASTS_MS: u64 = 1_000_000;
+
+/// What an upstream does with orders to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mood {
+    /// Runs them.
+    Sound,
+    /// Runs them, and fails each.
+    Failing,
+    /// Takes calls and never answers; what runs there goes on.
+    Silent,
+    /// Says that it is unwell, and does nothing.
+    Unwell,
+    /// Loses the first response to each start, and carries it out.
+    Mute,
+}
+
+/// A run at work.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Running {
+    pub number: u32,
+    pub start: u64,
+    pub end: u64,
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub(crate) struct Fake {
+    pub mood: Mood,
+    pub listing: Listing,
+    pub running: BTreeMap<TaskId, Running>,
+    pub ended: Vec<Ended>,
+    pub seen: u64,
+    pub lease: u64,
+    pub barred: HashMap<TaskId, u32>,
+    /// The mark of the renewal under way, and until when it waits.
+    pub hold: Option<(u64, u64)>,
+    /// When it is gone, with all that runs there.
+    pub leaves: Option<u64>,
+    ends: u64,
+}
+
+impl Fake {
+    /// Makes an upstream of 8 accelerators.
+    pub(crate) fn new(id: &str, rack: u32) -> Self {
+        Self {
+            mood: Mood::Sound,
+            listing: listing(id, rack),
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            seen: 0,
+            lease: 0,
+            barred: HashMap::new(),
+            hold: None,
+            leaves: None,
+            ends: 0,
+        }
+    }
+
+    /// Ends a run.
+    pub(crate) fn end(&mut self, task: &TaskId, how: How) {
+        let Some(Running { number, .. }) = self.running.remove(task) else {
+            return;
+        };
+        self.ends += 1;
+        self.barred.insert(task.clone(), number);
+        self.ended.push(Ended {
+            number: self.ends,
+            run: RunId {
+                task: task.clone(),
+                number,
+            },
+            how,
+            saved: String::new(),
+        });
+    }
+
+    /// Ends what is over: work that is done, leases, the upstream itself.
+    pub(crate) fn work(&mut self, now: u64) {
+        if self.leaves.is_some_and(|leaves| leaves <= now) {
+            self.mood = Mood::Silent;
+            self.running.clear();
+            return;
+        }
+        if self.lease <= now {
+            let all: Vec<TaskId> = self.running.keys().cloned().collect();
+            for task in all {
+                self.end(&task, How::Lapsed);
+            }
+        }
+        let how = if self.mood == Mood::Failing {
+            How::Failed
+        } else {
+            How::Done
+        };
+        let over = self.running.iter().filter(|(_, run)| run.end <= now);
+        let over: Vec<TaskId> = over.map(|(task, _)| task.clone()).collect();
+        for task in over {
+            self.end(&task, how);
+        }
+    }
+
+    /// Tells what it holds.
+    pub(crate) fn report(&self, now: u64) -> Report {
+        let running = self.running.iter().map(|(task, run)| AtWork {
+            run: RunId {
+                task: task.clone(),
+                number: run.number,
+            },
+            saved: String::new(),
+            percent: percent(now, run),
+        });
+        Report {
+            born: self.listing.born,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+fn percent(now: u64, run: &Running) -> u32 {
+    let whole = run.end - run.start;
+    if whole > LASTS_MS {
+        return 100;
+    }
+    let done = (now - run.start) * 100 / whole.max(1);
+    u32::try_from(done.min(99)).unwrap()
+}
+
+fn listing(id: &str, rack: u32) -> Listing {
+    Listing {
+        id: id.into(),
+        addr: format!("10.0.0.1:{}", 1_000 + rack).into(),
+        service: "service".into(),
+        born: 7,
+        room: Need {
+            cpu: 128_000,
+            memory: 262_144,
+            accelerators: 8,
+        },
+        labels: vec!["a".into(), format!("r1-{rack}").into()],
+        clock_ms: 0,
+        ready: true,
+        left_ms: None,
+    }
+}
--- a/tests/fleet/lasting.rs
+++ b/tests/fleet/lasting.rs
@@ -1,6 +1,6 @@
 //! Tasks that last: they are started again however they end, and are not stopped freely.
 
-use super::world::Mood;
+use super::fake::Mood;
 use super::world::World;
 use super::world::gang;
 use super::world::step;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::unwrap_used, clippy::panic, reason = "helpers of tests")]
 
+mod evacuate;
+mod fake;
 mod guarantees;
 mod lasting;
 mod load;
--- a/tests/fleet/once.rs
+++ b/tests/fleet/once.rs
@@ -1,6 +1,6 @@
 //! No task runs twice, and nothing is said that a new leader would take back.
 
-use super::world::Mood;
+use super::fake::Mood;
 use super::world::World;
 use super::world::gang;
 use super::world::step;
--- a/tests/fleet/steps.rs
+++ b/tests/fleet/steps.rs
@@ -1,6 +1,6 @@
 //! Jobs run step by step, and callers see it.
 
-use super::world::Mood;
+use super::fake::Mood;
 use super::world::World;
 use super::world::gang;
 use super::world::step;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -1,5 +1,8 @@
 //! A scheduler with upstreams and a store that a test controls; time moves only when it says so.
 
+use super::fake::Fake;
+use super::fake::Mood;
+use super::fake::Running;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -7,20 +10,16 @@
 use trefoilgauge::fleet::Event;
 use trefoilgauge::fleet::Scheduler;
 use trefoilgauge::fleet::event::Ask;
-use trefoilgauge::fleet::event::AtWork;
 use trefoilgauge::fleet::event::Call;
-use trefoilgauge::fleet::event::Ended;
 use trefoilgauge::fleet::event::Held;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::event::Reading;
 use trefoilgauge::fleet::event::Reply;
-use trefoilgauge::fleet::event::Report;
 use trefoilgauge::fleet::event::Started;
 use trefoilgauge::fleet::event::Stopped;
 use trefoilgauge::fleet::model::Config;
 use trefoilgauge::fleet::model::How;
 use trefoilgauge::fleet::model::Listing;
-use trefoilgauge::fleet::model::Need;
 use trefoilgauge::fleet::model::Queue;
 use trefoilgauge::fleet::model::RunId;
 use trefoilgauge::fleet::model::Spec;
@@ -38,36 +37,6 @@
 /// The step of time, in milliseconds.
 const STEP_MS: u64 = 10;
 
-/// What an upstream does with orders to start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Mood {
-    /// Runs them.
-    Sound,
-    /// Runs them, and fails each.
-    Failing,
-    /// Takes calls and never answers; what runs there goes on.
-    Silent,
-    /// Says that it is unwell, and does nothing.
-    Unwell,
-    /// Loses the first response to each start, and carries it out.
-    Mute,
-}
-
-/// One upstream.
-#[derive(Debug)]
-pub(crate) struct Fake {
-    pub mood: Mood,
-    pub listing: Listing,
-    pub running: BTreeMap<TaskId, (u32, u64)>,
-    pub ended: Vec<Ended>,
-    ends: u64,
-    seen: u64,
-    lease: u64,
-    barred: HashMap<TaskId, u32>,
-    /// The mark of the renewal under way, and until when it waits.
-    hold: Option<(u64, u64)>,
-}
-
 /// A run that began: task, number, upstream, time.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Begun {
@@ -177,21 +146,8 @@
         };
         for rack in 0..racks {
             for number in 0..each {
-                let listing = listing(&format!("u-{rack}-{number}"), rack);
-                world.upstreams.insert(
-                    listing.id.clone(),
-                    Fake {
-                        mood: Mood::Sound,
-                        listing,
-                        running: BTreeMap::new(),
-                        ended: Vec::new(),
-                        ends: 0,
-                        seen: 0,
-                        lease: 0,
-                        barred: HashMap::new(),
-                        hold: None,
-                    },
-                );
+                let fake = Fake::new(&format!("u-{rack}-{number}"), rack);
+                world.upstreams.insert(fake.listing.id.clone(), fake);
             }
         }
         world.tell(Event::Config(Arc::new(config(1, 16))));
@@ -210,6 +166,16 @@
         self.tell(Event::Listed(listings));
     }
 
+    /// Lets an upstream say that it leaves in `ms`; what runs there then is lost.
+    pub(crate) fn leave(&mut self, at: &Name, ms: u64) {
+        let now = self.now;
+        let fake = self.upstreams.get_mut(at).unwrap();
+        fake.listing.ready = false;
+        fake.listing.left_ms = Some(ms);
+        fake.leaves = Some(now + ms);
+        self.list();
+    }
+
     /// Puts a scheduler that has taken the lead from this one in its place.
     pub(crate) fn take_over(&mut self) {
         self.held_back.clear();
@@ -310,23 +276,13 @@
         let job = format!("{id:016x}");
         let fake = self.upstreams.get_mut(at).unwrap();
         let (mark, _) = fake.hold.take().unwrap();
-        let running = fake.running.iter().filter(|(task, _)| *task.job != *job);
-        let running = running.map(|(task, (number, _))| AtWork {
-            run: RunId {
-                task: task.clone(),
-                number: *number,
-            },
-            saved: String::new(),
-            percent: 100,
-        });
+        let mut report = fake.report(self.now);
+        report.running.retain(|work| *work.run.task.job != *job);
+        report.ended.clear();
         Event::Held {
             at: at.clone(),
             mark,
-            answer: Held::Report(Report {
-                born: fake.listing.born,
-                running: running.collect(),
-                ended: Vec::new(),
-            }),
+            answer: Held::Report(report),
             clock: None,
         }
     }
@@ -336,9 +292,9 @@
         let job = format!("{id:016x}");
         let mut found = Vec::new();
         for (name, fake) in &self.upstreams {
-            for (task, (number, _)) in &fake.running {
+            for (task, run) in &fake.running {
                 if *task.job == *job {
-                    found.push((task.clone(), *number, name.clone()));
+                    found.push((task.clone(), run.number, name.clone()));
                 }
             }
         }
@@ -443,7 +399,7 @@
             Mood::Unwell => Started::Unwell,
             _ if barred => Started::Barred,
             mood => {
-                let before = fake.running.get(&run.task).map(|(number, _)| *number);
+                let before = fake.running.get(&run.task).map(|run| run.number);
                 let again = before.is_some_and(|number| number != run.number);
                 assert!(!again, "{run:?} starts while run {before:?} is at work");
                 let first = before.is_none();
@@ -460,7 +416,12 @@
                 } else {
                     now + work
                 };
-                fake.running.insert(run.task.clone(), (run.number, end));
+                let started = Running {
+                    number: run.number,
+                    start: now,
+                    end,
+                };
+                fake.running.insert(run.task.clone(), started);
                 if mood == Mood::Mute && first {
                     Started::Silent
                 } else {
@@ -501,28 +462,8 @@
     }
 
     fn work(&mut self) {
-        let now = self.now;
         for fake in self.upstreams.values_mut() {
-            if fake.lease <= now {
-                let lapsed: Vec<TaskId> = fake.running.keys().cloned().collect();
-                for task in lapsed {
-                    fake.end(&task, How::Lapsed);
-                }
-            }
-            let over: Vec<TaskId> = fake
-                .running
-                .iter()
-                .filter(|(_, (_, end))| *end <= now)
-                .map(|(task, _)| task.clone())
-                .collect();
-            let how = if fake.mood == Mood::Failing {
-                How::Failed
-            } else {
-                How::Done
-            };
-            for task in over {
-                fake.end(&task, how);
-            }
+            fake.work(self.now);
         }
     }
 
@@ -549,19 +490,7 @@
                 });
                 continue;
             }
-            let running = fake.running.iter().map(|(task, (number, _))| AtWork {
-                run: RunId {
-                    task: task.clone(),
-                    number: *number,
-                },
-                saved: String::new(),
-                percent: 100,
-            });
-            let report = Report {
-                born: fake.listing.born,
-                running: running.collect(),
-                ended: fake.ended.clone(),
-            };
+            let report = fake.report(now);
             events.push(Event::Held {
                 at: at.clone(),
                 mark,
@@ -577,40 +506,3 @@
         }
     }
 }
-
-impl Fake {
-    /// Ends a run.
-    pub(crate) fn end(&mut self, task: &TaskId, how: How) {
-        let Some((number, _)) = self.running.remove(task) else {
-            return;
-        };
-        self.ends += 1;
-        self.barred.insert(task.clone(), number);
-        self.ended.push(Ended {
-            number: self.ends,
-            run: RunId {
-                task: task.clone(),
-                number,
-            },
-            how,
-            saved: String::new(),
-        });
-    }
-}
-
-fn listing(id: &str, rack: u32) -> Listing {
-    Listing {
-        id: id.into(),
-        addr: format!("10.0.0.1:{}", 1_000 + rack).into(),
-        service: "service".into(),
-        born: 7,
-        room: Need {
-            cpu: 128_000,
-            memory: 262_144,
-            accelerators: 8,
-        },
-        labels: vec!["a".into(), format!("r1-{rack}").into()],
-        clock_ms: 0,
-        ready: true,
-    }
-}
