feat(fleet): carry out waves of maintenance

Cause: operators' orders for maintenance were read by nobody and went undone without a word.

Change: the adapter reads them beside the configuration, lists machines, takes them down under the fencing token and tells the state. upkeep.rs decides: clear the least busy machines first, no more down at once than allowed, orders stored before they are sent (row w.N), sent again until answered; evacuate.rs keeps lasting steps within what may be missed. The calls out of the leader moved from engine.rs to hands.rs.

Ruled out: settling the runs of a machine on its 200, since after a change of leaders that may tell of an earlier time, and the upstream be a new one.

--- a/src/fleet/effect.rs
+++ b/src/fleet/effect.rs
@@ -66,6 +66,22 @@
         /// The job.
         job: Name,
     },
+    /// List all machines.
+    ListMachines,
+    /// Order the platform to take a machine down for maintenance.
+    TakeDown {
+        /// The machine.
+        machine: Name,
+        /// The wave.
+        wave: u64,
+    },
+    /// Tell the operators the state of a wave.
+    Announce {
+        /// The wave.
+        wave: u64,
+        /// Whether it is completed; else it is under way.
+        completed: bool,
+    },
     /// Give up the lead: a higher token is in use.
     Resign {
         /// The reason.
--- a/src/fleet/evacuate.rs
+++ b/src/fleet/evacuate.rs
@@ -5,6 +5,7 @@
 //! that can be saved its progress.
 
 use super::model::RunId;
+use super::model::Step;
 use super::scheduler::Scheduler;
 use super::scheduler::place_of;
 use super::task::Place;
@@ -26,6 +27,8 @@
     ends: Option<u64>,
     /// Whether a stop saves its progress.
     saves: bool,
+    /// Whether it leaves for maintenance, which waits for what may not be missed.
+    waits: bool,
     /// The longest time that a stop takes, in milliseconds.
     stop_ms: u64,
 }
@@ -38,20 +41,24 @@
             return false;
         }
         let last = self.leaves.saturating_sub(self.stop_ms + ORDER_MS);
-        now >= last || self.ends.is_some() && !self.saves
+        match self.ends {
+            Some(_) => now >= last || !self.saves,
+            None => now >= last || self.waits,
+        }
     }
 }
 
 impl Scheduler {
     /// Stops the runs that cannot end before their upstream leaves.
     pub(super) fn evacuate(&mut self, now: u64) {
-        let mut due: Vec<(Name, Place)> = Vec::new();
+        let mut due: Vec<(Name, Place, bool)> = Vec::new();
         for (at, upstream) in &self.upstreams {
             let Some(leaves) = upstream.leaves_at().filter(|_| !upstream.runs.is_empty()) else {
                 continue;
             };
             for run in upstream.runs.keys() {
-                let Some(outlook) = self.outlook(now, run, leaves) else {
+                let waits = upstream.listing.left_ms.is_none();
+                let Some(outlook) = self.outlook(now, run, leaves, waits) else {
                     continue;
                 };
                 if outlook.is_due(now) {
@@ -64,16 +71,30 @@
                         leaves.saturating_sub(now),
                         outlook.ends.map(|ends| ends.saturating_sub(now))
                     );
-                    due.push((run.task.job.clone(), place_of(&run.task)));
+                    let limited = waits && self.is_limited(run);
+                    due.push((run.task.job.clone(), place_of(&run.task), limited));
                 }
             }
         }
-        for (id, place) in due {
+        for (id, place, limited) in due {
+            let job = self.jobs.get(&id);
+            if limited && job.is_some_and(|job| job.spare(place) == 0) {
+                continue;
+            }
             self.stop_step(now, &id, place);
         }
     }
 
-    fn outlook(&self, now: u64, run: &RunId, leaves: u64) -> Option<Outlook> {
+    /// Tells whether only some tasks of a run's step may be away at once.
+    pub(super) fn is_limited(&self, run: &RunId) -> bool {
+        let step = self
+            .jobs
+            .get(&run.task.job)
+            .and_then(|job| job.spec.steps.get(run.task.step as usize));
+        step.is_some_and(Step::is_limited)
+    }
+
+    fn outlook(&self, now: u64, run: &RunId, leaves: u64, waits: bool) -> Option<Outlook> {
         let job = self.jobs.get(&run.task.job)?;
         let step = job.spec.steps.get(run.task.step as usize)?;
         let live = job.task(place_of(&run.task))?.live.as_ref()?;
@@ -96,6 +117,7 @@
             leaves,
             ends: (!step.lasting).then_some(ends),
             saves: step.saves,
+            waits,
             stop_ms: self.timing.stop_ms,
         })
     }
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -3,8 +3,10 @@
 use super::model::Config;
 use super::model::How;
 use super::model::Listing;
+use super::model::Machine;
 use super::model::RunId;
 use super::model::Spec;
+use super::model::Wave;
 use crate::prelude::*;
 
 /// A call of a caller, decoded.
@@ -119,6 +121,23 @@
     Silent,
 }
 
+/// The response of the platform to an order that takes a machine down for maintenance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Downed {
+    /// It goes down now, or did so before for the same wave.
+    Yes,
+    /// The platform has seen a higher token for this machine.
+    Fenced,
+    /// It is not up; nothing was done.
+    Busy,
+    /// The machine does not exist, or is none of the wave.
+    Unknown,
+    /// Too many calls; nothing was done.
+    Declined,
+    /// There was no response; the order may yet take effect.
+    Silent,
+}
+
 /// A run that an upstream has at work.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AtWork {
@@ -234,4 +253,26 @@
     },
     /// The store has a job as closed.
     Sealed(Name),
+    /// The operators order maintenance.
+    Wave(Wave),
+    /// All machines, or none if the platform did not say.
+    Machines(Option<Vec<Machine>>),
+    /// An order to take a machine down was answered or given up.
+    Downed {
+        /// The machine.
+        machine: Name,
+        /// The wave.
+        wave: u64,
+        /// The answer.
+        answer: Downed,
+    },
+    /// The operators were told the state of a wave, or not.
+    Announced {
+        /// The wave.
+        wave: u64,
+        /// Whether the state was that it is completed.
+        completed: bool,
+        /// Whether the store took it.
+        stored: bool,
+    },
 }
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -2,6 +2,7 @@
 
 use super::super::Scheduler;
 use super::Parts;
+use super::hands::Hands;
 use crate::fleet::Effect;
 use crate::fleet::Event;
 use crate::fleet::clock::boot_ms;
@@ -12,10 +13,7 @@
 use crate::fleet::gauge;
 use crate::fleet::ports::Area;
 use crate::fleet::ports::Error;
-use crate::fleet::ports::HoldOrder;
-use crate::fleet::ports::StartOrder;
 use crate::fleet::ports::Store;
-use crate::fleet::ports::Target;
 use crate::fleet::ports::Terms;
 use crate::fleet::row::Row;
 use crate::prelude::*;
@@ -132,7 +130,7 @@
 #[derive(Debug)]
 pub(super) struct Desk {
     rx: mpsc::Receiver<Input>,
-    tx: mpsc::Sender<Input>,
+    hands: Hands,
     gauges: Arc<Gauges>,
     scheduler: Scheduler,
     parts: Parts,
@@ -165,7 +163,7 @@
     };
     let desk = Desk {
         rx,
-        tx,
+        hands: Hands::new(&parts, tx, epoch),
         gauges,
         scheduler,
         parts,
@@ -344,15 +342,14 @@
     }
 
     fn carry(&mut self, effect: Effect) {
-        let target = |id: &Name, addr: &Name| Target {
-            id: id.clone(),
-            addr: addr.clone(),
-            token: self.epoch,
-        };
         let late = age(&self.gauges.proven_at) > ORDERS_MS;
         let orders = matches!(
             effect,
-            Effect::Start { .. } | Effect::Stop { .. } | Effect::Hold { .. }
+            Effect::Start { .. }
+                | Effect::Stop { .. }
+                | Effect::Hold { .. }
+                | Effect::TakeDown { .. }
+                | Effect::Announce { .. }
         );
         if late && orders {
             let silence = age(&self.gauges.proven_at);
@@ -361,8 +358,6 @@
             ));
             return;
         }
-        let upstreams = self.parts.upstreams.clone();
-        let tx = self.tx.clone();
         match effect {
             Effect::Reply { call, reply } => self.answer(call, reply),
             Effect::Noted { at, number } => {
@@ -370,70 +365,7 @@
             }
             Effect::Sealed { job } => self.scheduler.step(boot_ms(), Event::Sealed(job)),
             Effect::Resign { why } => self.resigned = Some(why),
-            Effect::Start {
-                at,
-                addr,
-                run,
-                text,
-                until_ms,
-                saved,
-            } => {
-                let target = target(&at, &addr);
-                tokio::spawn(async move {
-                    let order = StartOrder {
-                        run: run.clone(),
-                        text,
-                        until_ms,
-                        saved,
-                    };
-                    let (answer, clock) = upstreams.start(target, order).await;
-                    let event = Event::Started {
-                        at,
-                        run,
-                        answer,
-                        clock,
-                    };
-                    send(&tx, event).await;
-                });
-            }
-            Effect::Stop { at, addr, run } => {
-                let target = target(&at, &addr);
-                tokio::spawn(async move {
-                    let (answer, clock) = upstreams.stop(target, run.clone()).await;
-                    let event = Event::Stopped {
-                        at,
-                        run,
-                        answer,
-                        clock,
-                    };
-                    send(&tx, event).await;
-                });
-            }
-            Effect::Hold {
-                at,
-                addr,
-                until_ms,
-                seen,
-                wait_ms,
-                mark,
-            } => {
-                let target = target(&at, &addr);
-                tokio::spawn(async move {
-                    let order = HoldOrder {
-                        until_ms,
-                        seen,
-                        wait_ms,
-                    };
-                    let (answer, clock) = upstreams.hold(target, order).await;
-                    let event = Event::Held {
-                        at,
-                        mark,
-                        answer,
-                        clock,
-                    };
-                    send(&tx, event).await;
-                });
-            }
+            order => self.hands.carry(order),
         }
     }
 
@@ -456,12 +388,6 @@
     }
 }
 
-async fn send(tx: &mpsc::Sender<Input>, event: Event) {
-    if tx.send(Input::Event(event)).await.is_err() {
-        log::debug!("an upstream answered after the lead was given up");
-    }
-}
-
 async fn wait_for(append: &mut Option<Append>) -> Result<u64, Error> {
     match append {
         Some(append) => match (&mut append.done).await {
--- /dev/null
+++ b/src/fleet/host/hands.rs
@@ -0,0 +1,185 @@
+//! Carries out the leader's orders; what becomes of them goes back to it as events.
+
+use super::Parts;
+use super::engine::Input;
+use crate::fleet::Effect;
+use crate::fleet::Event;
+use crate::fleet::gauge;
+use crate::fleet::model::RunId;
+use crate::fleet::ports::HoldOrder;
+use crate::fleet::ports::Machines;
+use crate::fleet::ports::StartOrder;
+use crate::fleet::ports::Store;
+use crate::fleet::ports::Target;
+use crate::fleet::ports::Upstreams;
+use crate::prelude::*;
+use std::future::Future;
+use tokio::sync::mpsc;
+
+/// The ways out of the leader.
+#[derive(Debug)]
+pub(super) struct Hands {
+    store: Arc<dyn Store>,
+    upstreams: Arc<dyn Upstreams>,
+    machines: Option<Arc<dyn Machines>>,
+    tx: mpsc::Sender<Input>,
+    token: u64,
+}
+
+impl Hands {
+    /// Makes the hands of the leader of epoch `token`, whose events go to `tx`.
+    pub(super) fn new(parts: &Parts, tx: mpsc::Sender<Input>, token: u64) -> Self {
+        Self {
+            store: parts.store.clone(),
+            upstreams: parts.upstreams.clone(),
+            machines: parts.machines.clone(),
+            tx,
+            token,
+        }
+    }
+
+    /// Carries out an order without waiting for its outcome.
+    pub(super) fn carry(&self, order: Effect) {
+        match order {
+            Effect::Start {
+                at,
+                addr,
+                run,
+                text,
+                until_ms,
+                saved,
+            } => {
+                let order = StartOrder {
+                    run,
+                    text,
+                    until_ms,
+                    saved,
+                };
+                self.start(at, addr, order);
+            }
+            Effect::Stop { at, addr, run } => self.stop(at, addr, run),
+            Effect::Hold {
+                at,
+                addr,
+                until_ms,
+                seen,
+                wait_ms,
+                mark,
+            } => {
+                let order = HoldOrder {
+                    until_ms,
+                    seen,
+                    wait_ms,
+                };
+                self.hold(at, addr, mark, order);
+            }
+            Effect::ListMachines => self.list_machines(),
+            Effect::TakeDown { machine, wave } => self.take_down(machine, wave),
+            Effect::Announce { wave, completed } => self.announce(wave, completed),
+            Effect::Reply { .. }
+            | Effect::Noted { .. }
+            | Effect::Sealed { .. }
+            | Effect::Resign { .. } => log::error!("the leader's own effect came as an order"),
+        }
+    }
+
+    fn target(&self, id: &Name, addr: Name) -> Target {
+        Target {
+            id: id.clone(),
+            addr,
+            token: self.token,
+        }
+    }
+
+    /// Lets a call run on its own; its outcome is told to the leader.
+    fn spawn(&self, call: impl Future<Output = Event> + Send + 'static) {
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            if tx.send(Input::Event(call.await)).await.is_err() {
+                log::debug!("a call was answered after the lead was given up");
+            }
+        });
+    }
+
+    fn start(&self, at: Name, addr: Name, order: StartOrder) {
+        let upstreams = self.upstreams.clone();
+        let target = self.target(&at, addr);
+        self.spawn(async move {
+            let run = order.run.clone();
+            let (answer, clock) = upstreams.start(target, order).await;
+            Event::Started {
+                at,
+                run,
+                answer,
+                clock,
+            }
+        });
+    }
+
+    fn stop(&self, at: Name, addr: Name, run: RunId) {
+        let upstreams = self.upstreams.clone();
+        let target = self.target(&at, addr);
+        self.spawn(async move {
+            let (answer, clock) = upstreams.stop(target, run.clone()).await;
+            Event::Stopped {
+                at,
+                run,
+                answer,
+                clock,
+            }
+        });
+    }
+
+    fn hold(&self, at: Name, addr: Name, mark: u64, order: HoldOrder) {
+        let upstreams = self.upstreams.clone();
+        let target = self.target(&at, addr);
+        self.spawn(async move {
+            let (answer, clock) = upstreams.hold(target, order).await;
+            Event::Held {
+                at,
+                mark,
+                answer,
+                clock,
+            }
+        });
+    }
+
+    fn list_machines(&self) {
+        let Some(machines) = self.machines.clone() else {
+            log::error!("maintenance is ordered, and the settings name no address of machines");
+            return;
+        };
+        self.spawn(async move { Event::Machines(machines.list().await) });
+    }
+
+    fn take_down(&self, machine: Name, wave: u64) {
+        let Some(machines) = self.machines.clone() else {
+            return;
+        };
+        let token = self.token;
+        self.spawn(async move {
+            let answer = machines.take_down(machine.clone(), wave, token).await;
+            Event::Downed {
+                machine,
+                wave,
+                answer,
+            }
+        });
+    }
+
+    fn announce(&self, wave: u64, completed: bool) {
+        let store = self.store.clone();
+        self.spawn(async move {
+            let told = store.announce(wave, completed).await;
+            if let Err(error) = &told {
+                gauge::store_failed("announce");
+                log::warn!("wave={wave} completed={completed} not announced, retrying: {error}");
+            }
+            Event::Announced {
+                wave,
+                completed,
+                stored: told.is_ok(),
+            }
+        });
+    }
+}
--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -12,7 +12,6 @@
 use super::link;
 use super::link::Lost;
 use super::watch;
-use crate::fleet::Event;
 use crate::fleet::Scheduler;
 use crate::fleet::clock::boot_ms;
 use crate::fleet::clock::wall_ms;
@@ -317,7 +316,7 @@
         };
         let (engine, desk) = engine::new(self.parts.clone(), scheduler, row.epoch, sequence);
         let store = &self.parts.store;
-        let configs = tokio::spawn(watch::configs(store.clone(), engine.clone()));
+        let configs = tokio::spawn(watch::directives(store.clone(), engine.clone()));
         let sightings = tokio::spawn(watch::sightings(store.clone(), engine.clone()));
         log::info!("leading epoch={}", row.epoch);
         gauge::leads(true);
@@ -360,9 +359,9 @@
         let (now, wall) = (boot_ms(), wall_ms());
         let timing = self.parts.timing.clone();
         let mut scheduler = Scheduler::load(timing, rows.rows, now, wall, inherited)?;
-        let feed = store.configs(None, 0).await.map_err(text)?;
-        for config in feed.items {
-            scheduler.step(now, Event::Config(config));
+        let feed = store.directives(None, 0).await.map_err(text)?;
+        for directive in feed.items {
+            scheduler.step(now, directive.into());
         }
         Ok((scheduler, 0))
     }
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod frame;
+mod hands;
 mod lead;
 mod link;
 mod relay;
@@ -9,6 +10,7 @@
 
 use super::event::Call;
 use super::event::Reply;
+use super::ports::Machines;
 use super::ports::Store;
 use super::ports::Upstreams;
 use super::timing::Timing;
@@ -39,6 +41,8 @@
     pub store: Arc<dyn Store>,
     /// The upstreams.
     pub upstreams: Arc<dyn Upstreams>,
+    /// The machines of the upstreams, if the platform manages them.
+    pub machines: Option<Arc<dyn Machines>>,
     /// The bounds of the deployment.
     pub timing: Timing,
     /// The age of the configuration from which on calls with a key are refused, in milliseconds;
--- a/src/fleet/host/watch.rs
+++ b/src/fleet/host/watch.rs
@@ -21,25 +21,25 @@
 /// The wait after a failed read, in milliseconds.
 const AGAIN_MS: u64 = 200;
 
-/// Follows the configuration until the engine ends.
-pub(super) async fn configs(store: Arc<dyn Store>, engine: Engine) {
+/// Follows what the operators write until the engine ends.
+pub(super) async fn directives(store: Arc<dyn Store>, engine: Engine) {
     let mut from = None;
     let mut lost = false;
     loop {
         let sent = boot_ms();
-        match store.configs(from, CONFIG_WAIT_MS).await {
+        match store.directives(from, CONFIG_WAIT_MS).await {
             Ok(feed) => {
                 if std::mem::take(&mut lost) {
                     log::info!("configuration is followed again");
                 }
                 from = Some(feed.next);
-                for config in feed.items {
-                    engine.tell(Event::Config(config)).await;
+                for directive in feed.items {
+                    engine.tell(directive.into()).await;
                 }
                 engine.gauges.config_at.fetch_max(sent, Ordering::Relaxed);
             }
             Err(error) => {
-                gauge::store_failed("configs");
+                gauge::store_failed("directives");
                 if !std::mem::replace(&mut lost, true) {
                     log::warn!("configuration cannot be followed: {error}");
                 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 pub mod settings;
 mod task;
 pub mod timing;
+mod upkeep;
 mod upstream;
 mod victims;
 
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -95,6 +95,11 @@
 }
 
 impl Step {
+    /// Tells whether only some of its tasks may be away at once through actions of the system.
+    pub fn is_limited(&self) -> bool {
+        self.lasting && self.may_miss > 0
+    }
+
     /// Returns what a task takes; the cores of a filling task are not counted.
     pub fn need(&self) -> Need {
         Need {
@@ -247,6 +252,30 @@
     Alone,
 }
 
+/// Maintenance of some machines that the operators order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wave {
+    /// Its number.
+    pub number: u64,
+    /// The machines.
+    pub machines: Vec<Name>,
+    /// The time for all of them, in milliseconds.
+    pub within_ms: u64,
+    /// How many may be down at once.
+    pub maximum: u32,
+}
+
+/// A machine on which an upstream runs, as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Machine {
+    /// Its identity, which outlives its upstreams.
+    pub id: Name,
+    /// Whether it is neither moving nor under maintenance nor off.
+    pub up: bool,
+    /// The upstream that it runs now, empty if none.
+    pub upstream: Name,
+}
+
 /// What an upstream says of itself in discovery.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listing {
--- a/src/fleet/ports.rs
+++ b/src/fleet/ports.rs
@@ -1,12 +1,16 @@
 //! What the scheduler's host needs of the outside: a store and the upstreams.
 
+use super::event::Downed;
+use super::event::Event;
 use super::event::Held;
 use super::event::Reading;
 use super::event::Started;
 use super::event::Stopped;
 use super::model::Config;
 use super::model::Listing;
+use super::model::Machine;
 use super::model::RunId;
+use super::model::Wave;
 use super::row::Row;
 use crate::prelude::*;
 use std::fmt::Debug;
@@ -91,6 +95,24 @@
     Unlisted(Name),
 }
 
+/// What the operators write.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Directive {
+    /// A configuration.
+    Config(Arc<Config>),
+    /// Maintenance.
+    Wave(Wave),
+}
+
+impl From<Directive> for Event {
+    fn from(directive: Directive) -> Self {
+        match directive {
+            Directive::Config(config) => Self::Config(config),
+            Directive::Wave(wave) => Self::Wave(wave),
+        }
+    }
+}
+
 /// The fenced store of rows, the operators' configuration and the discovery of upstreams.
 pub trait Store: Send + Sync + Debug {
     /// Reads the newest row of each key.
@@ -116,12 +138,19 @@
     /// done yet.
     fn append<'a>(&'a self, area: Area, terms: Terms, rows: &'a [Row]) -> Wait<'a, Result<()>>;
 
-    /// Reads configurations, all or from an offset on.
+    /// Reads what the operators wrote, all or from an offset on.
     ///
     /// # Errors
     ///
     /// As [`Store::newest`].
-    fn configs(&self, from: Option<Offset>, wait_ms: u64) -> Wait<'_, Result<Feed<Arc<Config>>>>;
+    fn directives(&self, from: Option<Offset>, wait_ms: u64) -> Wait<'_, Result<Feed<Directive>>>;
+
+    /// Tells the operators whether a wave is completed or under way.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::append`].
+    fn announce(&self, wave: u64, completed: bool) -> Wait<'_, Result<()>>;
 
     /// Reads discovery, all or from an offset on.
     ///
@@ -166,6 +195,15 @@
     pub wait_ms: u64,
 }
 
+/// The machines of the upstreams.
+pub trait Machines: Send + Sync + Debug {
+    /// Lists all machines; none if the platform did not answer.
+    fn list(&self) -> Wait<'_, Option<Vec<Machine>>>;
+
+    /// Takes a machine down for maintenance, under a fencing token.
+    fn take_down(&self, machine: Name, wave: u64, token: u64) -> Wait<'_, Downed>;
+}
+
 /// Orders to upstreams.
 pub trait Upstreams: Send + Sync + Debug {
     /// Orders a start.
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -166,15 +166,14 @@
     /// Returns the position of the limit that a task is under, if any.
     fn of(&mut self, job: &Job, place: Place) -> Option<usize> {
         let step = job.spec.steps.get(place.step as usize)?;
-        if !step.lasting || step.may_miss == 0 {
+        if !step.is_limited() {
             return None;
         }
         let key = (job.id.clone(), place.turn, place.step);
         let next = self.allowed.len();
         let at = *self.index.entry(key).or_insert(next);
         if at == next {
-            let away = job.away(place);
-            self.allowed.push(step.may_miss.saturating_sub(away));
+            self.allowed.push(job.spare(place));
         }
         Some(at)
     }
--- a/src/fleet/row.rs
+++ b/src/fleet/row.rs
@@ -88,6 +88,28 @@
     pub failed_run: u32,
 }
 
+/// How far a wave of maintenance is.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WaveRow {
+    /// Machines that were ordered down and may not be back.
+    #[prost(string, repeated, tag = "1")]
+    pub ordered: Vec<String>,
+    /// Machines that are back.
+    #[prost(string, repeated, tag = "2")]
+    pub done: Vec<String>,
+    /// Whether all of it is done.
+    #[prost(bool, tag = "3")]
+    pub completed: bool,
+    /// Whether the operators know that it is.
+    #[prost(bool, tag = "4")]
+    pub announced: bool,
+}
+
+/// The key of a wave's row.
+pub fn wave_key(wave: u64) -> String {
+    format!("w.{wave}")
+}
+
 /// The key of a job's fixed row.
 pub fn job_key(job: &str) -> String {
     format!("j.{job}")
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -344,6 +344,7 @@
             return;
         }
         self.next_watch = now + WATCH_MS;
+        self.keep_up(now);
         self.evacuate(now);
         let expired: Vec<Name> = self
             .upstreams
@@ -424,7 +425,7 @@
         }
     }
 
-    fn resign(&mut self, why: String) {
+    pub(super) fn resign(&mut self, why: String) {
         self.out.free.push(Effect::Resign { why });
     }
 }
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -14,12 +14,14 @@
 use super::row::JobRow;
 use super::row::Row;
 use super::row::StateRow;
+use super::row::WaveRow;
 use super::row::job_key;
 use super::row::state_key;
 use super::task::Job;
 use super::task::Place;
 use super::task::Turn;
 use super::timing::Timing;
+use super::upkeep::Upkeep;
 use super::upstream::Upstream;
 use crate::prelude::*;
 use prost::Message;
@@ -55,6 +57,8 @@
     closed: BTreeSet<(u64, Name)>,
     /// Jobs with occurrences to come.
     timed: BTreeSet<Name>,
+    /// Maintenance.
+    pub(super) upkeep: Upkeep,
     /// Whether something changed that may let a task start.
     pub(super) changed: bool,
     /// Counts events and renewals, to tell which report was asked for after which response: times
@@ -102,6 +106,7 @@
             pending: BTreeSet::new(),
             closed: BTreeSet::new(),
             timed: BTreeSet::new(),
+            upkeep: Upkeep::default(),
             changed: true,
             mark: 0,
             touched: BTreeSet::new(),
@@ -122,6 +127,12 @@
             } else if let Some(id) = row.key.strip_prefix("j.") {
                 let job = JobRow::decode(&*row.value).map_err(bad)?;
                 fixed.push((id.to_owned(), job));
+            } else if let Some(wave) = row.key.strip_prefix("w.") {
+                let state = WaveRow::decode(&*row.value).map_err(bad)?;
+                let number = wave
+                    .parse()
+                    .map_err(|error| format!("row {}: {error}", row.key))?;
+                scheduler.upkeep.load(number, state);
             }
         }
         for (id, row) in fixed {
@@ -203,6 +214,18 @@
                     self.touched.insert(at);
                 }
             }
+            Event::Wave(wave) => self.wave(now, wave),
+            Event::Machines(list) => self.machines(list),
+            Event::Downed {
+                machine,
+                wave,
+                answer,
+            } => self.downed(now, &machine, wave, answer),
+            Event::Announced {
+                wave,
+                completed,
+                stored,
+            } => self.announced(now, wave, completed, stored),
             Event::Sealed(id) => {
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.sealed = true;
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -31,6 +31,8 @@
     pub metrics: Option<SocketAddr>,
     /// The address of the store.
     pub store: Name,
+    /// The address of the platform's machines, if it has any.
+    pub machines: Option<Name>,
     /// The time from the order to stop until the process is ended by force, in milliseconds.
     pub grace_ms: u64,
     /// The age of the configuration from which on calls with a key are refused, in milliseconds;
@@ -82,6 +84,11 @@
         store: address(&mut fields, "store", &mut findings)
             .to_string()
             .into(),
+        machines: fields
+            .raw("machines")
+            .is_some()
+            .then(|| address(&mut fields, "machines", &mut findings))
+            .map(|addr| addr.to_string().into()),
         grace_ms: thousandths(&mut fields, "grace_s", 6_000, &mut findings),
         // The rest of the bound is for the way of a revocation and for calls under way.
         config_age_ms: if strict { revoke_ms * 3 / 5 } else { 0 },
@@ -91,6 +98,7 @@
             stop_ms: fields.number_or("stop_ms", 200, 0..=MAX_MS, &mut findings),
             keep_ms: thousandths(&mut fields, "keep_s", 120_000, &mut findings),
             restore_ms: fields.number_or("restore_ms", 600, 0..=MAX_MS, &mut findings),
+            upkeep_ms: thousandths(&mut fields, "upkeep_s", 2_000, &mut findings),
             reclaim_ms: fields.number_or("reclaim_ms", 2_700, 0..=MAX_MS, &mut findings),
         },
     };
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -207,7 +207,7 @@
     }
 
     /// Counts the tasks of a step that are not at work.
-    pub(super) fn away(&self, place: Place) -> u32 {
+    fn away(&self, place: Place) -> u32 {
         let step = self
             .turns
             .get(&place.turn)
@@ -220,6 +220,12 @@
         tasks.iter().map(|task| u32::from(!works(task))).sum()
     }
 
+    /// Counts the tasks of a limited step that may be stopped now.
+    pub(super) fn spare(&self, place: Place) -> u32 {
+        let step = self.spec.steps.get(place.step as usize);
+        step.map_or(0, |step| step.may_miss.saturating_sub(self.away(place)))
+    }
+
     /// Tells the state that callers see.
     pub(super) fn phase(&self) -> Phase {
         match self.closed {
--- a/src/fleet/timing.rs
+++ b/src/fleet/timing.rs
@@ -11,6 +11,8 @@
     pub keep_ms: u64,
     /// How long a task needs to resume from what it saved.
     pub restore_ms: u64,
+    /// How long a machine is down for its maintenance.
+    pub upkeep_ms: u64,
     /// How long after its acknowledgement guaranteed work must have begun.
     pub reclaim_ms: u64,
 }
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -65,6 +65,8 @@
     pub(super) asked: u64,
     /// The last end whose acknowledgement it has answered.
     pub(super) told: u64,
+    /// When its machine goes down for maintenance at the latest, own time.
+    pub(super) clearing: Option<u64>,
     /// Until when it gets no new work, own time.
     pub(super) shut_until: u64,
     /// Jobs that failed here in a row.
@@ -98,6 +100,7 @@
             told: 0,
             seen: 0,
             handled: 0,
+            clearing: None,
             shut_until: 0,
             failed: Vec::new(),
             quarantines: 0,
@@ -144,15 +147,23 @@
 
     /// Returns the own time from which on it may be gone, if it is about to leave.
     pub(super) fn leaves_at(&self) -> Option<u64> {
-        let left = self.listing.left_ms?;
-        let end = self.listing.clock_ms + left;
-        let ahead = end.saturating_sub(self.clock.clock_ms);
-        Some(self.clock.at + ahead)
+        let left = self.listing.left_ms.map(|left| {
+            let end = self.listing.clock_ms + left;
+            self.clock.at + end.saturating_sub(self.clock.clock_ms)
+        });
+        match (left, self.clearing) {
+            (Some(left), Some(clearing)) => Some(left.min(clearing)),
+            (left, clearing) => left.or(clearing),
+        }
     }
 
     /// Tells whether it takes new work now.
     pub(super) fn is_open(&self, now: u64) -> bool {
-        self.listed && self.listing.ready && self.misses == 0 && now >= self.shut_until
+        self.listed
+            && self.listing.ready
+            && self.clearing.is_none()
+            && self.misses == 0
+            && now >= self.shut_until
     }
 
     /// Tells whether renewals go unanswered.
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -11,8 +11,10 @@
 use trefoilgauge::fleet::model::RunId;
 use trefoilgauge::fleet::model::TaskId;
 
-/// Tasks that work longer than this last: they are at work in full from their start.
+/// Tasks that work longer than this last.
 const LASTS_MS: u64 = 1_000_000;
+/// How long tasks that last need until they are at work in full, in milliseconds.
+pub(crate) const WARM_MS: u64 = 500;
 
 /// What an upstream does with orders to start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -135,7 +137,7 @@
 fn percent(now: u64, run: &Running) -> u32 {
     let whole = run.end - run.start;
     if whole > LASTS_MS {
-        return 100;
+        return if run.start + WARM_MS <= now { 100 } else { 50 };
     }
     let done = (now - run.start) * 100 / whole.max(1);
     u32::try_from(done.min(99)).unwrap()
--- a/tests/fleet/lasting.rs
+++ b/tests/fleet/lasting.rs
@@ -88,6 +88,6 @@
     world.submit("urgent", "key-a", 2, vec![gang(2, 4, 1_000)]);
     for _ in 0..100 {
         world.pass(50);
-        assert!(world.at_work(1).len() >= 11);
+        assert!(world.serving(1) >= 11);
     }
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, clippy::panic, reason = "helpers of tests")]
 
+mod cloud;
 mod evacuate;
 mod fake;
 mod guarantees;
@@ -11,4 +12,5 @@
 mod preempt;
 mod steps;
 mod timed;
+mod upkeep;
 mod world;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -1,8 +1,10 @@
 //! A scheduler with upstreams and a store that a test controls; time moves only when it says so.
 
+use super::cloud::Cloud;
 use super::fake::Fake;
 use super::fake::Mood;
 use super::fake::Running;
+use super::fake::WARM_MS;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -52,6 +54,9 @@
     pub rows: BTreeMap<String, Vec<u8>>,
     pub upstreams: BTreeMap<Name, Fake>,
     pub begun: Vec<Begun>,
+    pub cloud: Cloud,
+    /// What the operators were told of waves.
+    pub told: Vec<(u64, bool)>,
     pub store_down: bool,
     pub work_ms: HashMap<String, u64>,
     replies: HashMap<u64, Reply>,
@@ -66,6 +71,7 @@
         stop_ms: 200,
         keep_ms: 120_000,
         restore_ms: 600,
+        upkeep_ms: 2_000,
         reclaim_ms: 2_700,
     }
 }
@@ -138,6 +144,8 @@
             rows: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             begun: Vec::new(),
+            cloud: Cloud::default(),
+            told: Vec::new(),
             store_down: false,
             work_ms: HashMap::new(),
             replies: HashMap::new(),
@@ -147,6 +155,7 @@
         for rack in 0..racks {
             for number in 0..each {
                 let fake = Fake::new(&format!("u-{rack}-{number}"), rack);
+                world.cloud.add(&fake.listing.id);
                 world.upstreams.insert(fake.listing.id.clone(), fake);
             }
         }
@@ -158,7 +167,9 @@
     /// Tells the scheduler the entries of all upstreams.
     pub(crate) fn list(&mut self) {
         let now = self.now;
-        let listings = self.upstreams.values().map(|fake| Listing {
+        let here = self.upstreams.values();
+        let here = here.filter(|fake| fake.leaves.is_none_or(|leaves| leaves > now));
+        let listings = here.map(|fake| Listing {
             clock_ms: now,
             ..fake.listing.clone()
         });
@@ -301,6 +312,14 @@
         found
     }
 
+    /// Counts the tasks of a job that lasts that are at work in full.
+    pub(crate) fn serving(&self, id: u64) -> usize {
+        let job = format!("{id:016x}");
+        let all = self.upstreams.values().flat_map(|fake| &fake.running);
+        let warm = all.filter(|(task, run)| *task.job == *job && run.start + WARM_MS <= self.now);
+        warm.count()
+    }
+
     /// Panics if two runs of one task are at work.
     pub(crate) fn assert_single(&self) {
         let mut seen = HashSet::new();
@@ -352,6 +371,34 @@
             Effect::Noted { at, number } => {
                 self.scheduler.step(now, Event::Noted { at, number });
             }
+            Effect::ListMachines => {
+                let event = Event::Machines(self.cloud.list());
+                self.scheduler.step(now, event);
+            }
+            Effect::TakeDown { machine, wave } => {
+                let (answer, gone) = self.cloud.take_down(now, &machine, wave);
+                if let Some(gone) = gone {
+                    let fake = self.upstreams.get_mut(&gone).unwrap();
+                    fake.leaves = Some(now);
+                    fake.work(now);
+                    self.scheduler.step(now, Event::Unlisted(vec![gone]));
+                }
+                let event = Event::Downed {
+                    machine,
+                    wave,
+                    answer,
+                };
+                self.scheduler.step(now, event);
+            }
+            Effect::Announce { wave, completed } => {
+                self.told.push((wave, completed));
+                let event = Event::Announced {
+                    wave,
+                    completed,
+                    stored: true,
+                };
+                self.scheduler.step(now, event);
+            }
             Effect::Sealed { job } => self.scheduler.step(now, Event::Sealed(job)),
             Effect::Resign { why } => panic!("resigned: {why}"),
             Effect::Start {
@@ -462,6 +509,14 @@
     }
 
     fn work(&mut self) {
+        let back = self.cloud.work(self.now);
+        for id in &back {
+            let rack = id[2..3].parse().unwrap();
+            self.upstreams.insert(id.clone(), Fake::new(id, rack));
+        }
+        if !back.is_empty() {
+            self.list();
+        }
         for fake in self.upstreams.values_mut() {
             fake.work(self.now);
         }
