feat(fleet): pace filling tasks beside tasks that serve

Cause: tasks that serve have a target for their tail, and nothing looked at it: filling work beside them went on at full speed however much it disturbed.

Change: reports tell the figure of the last half second; pace.rs halves the shares of filling tasks on an upstream while a tail there is over its target, and gives 10% back at a time while all are below 70% of theirs. Upstreams with both report each half second. A share that is unknown (a lost order, a new leader) is ordered again; a task paused in vain is tried again each 6 s. Durations of tasks that were slowed down teach nothing.

The stand-in of the reducer's tests lost all but one of several renewals under way; it answers each now.

--- a/src/fleet/effect.rs
+++ b/src/fleet/effect.rs
@@ -39,6 +39,17 @@
         /// The run.
         run: RunId,
     },
+    /// Order an upstream to let a run work at a share of its speed.
+    Pace {
+        /// The upstream.
+        at: Name,
+        /// Its address.
+        addr: Name,
+        /// The run.
+        run: RunId,
+        /// The share, in percent.
+        percent: u32,
+    },
     /// Renew the lease of an upstream's runs and read what it holds.
     Hold {
         /// The upstream.
--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -164,7 +164,8 @@
             task.done = true;
         }
         stretch.left = super::task::count_left(&stretch.tasks);
-        if run.number == 1 {
+        // A task that was slowed down tells nothing of others.
+        if run.number == 1 && live.pace_at <= live.since {
             let queue = job.queue.clone();
             self.durations
                 .record(&queue, &step, now.saturating_sub(live.since));
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -108,10 +108,10 @@
     Silent,
 }
 
-/// The response of an upstream to an order to stop.
+/// The response of an upstream to an order to stop or to pace a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stopped {
-    /// The run is barred there and ends, if it runs.
+pub enum Ordered {
+    /// It does so: a run that is to stop is barred there, and ends if it runs.
     Yes,
     /// The upstream has seen a higher token.
     Fenced,
@@ -147,6 +147,9 @@
     pub saved: String,
     /// How far it is, in percent.
     pub percent: u32,
+    /// Of a task that serves, the tail of its response times in milliseconds; of any other, the
+    /// thousandths of a core that it uses. Both over about the last half second.
+    pub figure: u64,
 }
 
 /// A run that ended at an upstream.
@@ -229,10 +232,19 @@
         /// The run.
         run: RunId,
         /// Its answer.
-        answer: Stopped,
+        answer: Ordered,
         /// Its clock.
         clock: Option<Reading>,
     },
+    /// An order to pace a run was answered or given up.
+    Paced {
+        /// The upstream.
+        at: Name,
+        /// The run.
+        run: RunId,
+        /// Its answer.
+        answer: Ordered,
+    },
     /// A renewal was answered or given up.
     Held {
         /// The upstream.
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -347,6 +347,7 @@
             effect,
             Effect::Start { .. }
                 | Effect::Stop { .. }
+                | Effect::Pace { .. }
                 | Effect::Hold { .. }
                 | Effect::TakeDown { .. }
                 | Effect::Announce { .. }
--- a/src/fleet/host/hands.rs
+++ b/src/fleet/host/hands.rs
@@ -58,6 +58,12 @@
                 self.start(at, addr, order);
             }
             Effect::Stop { at, addr, run } => self.stop(at, addr, run),
+            Effect::Pace {
+                at,
+                addr,
+                run,
+                percent,
+            } => self.pace(at, addr, run, percent),
             Effect::Hold {
                 at,
                 addr,
@@ -130,6 +136,15 @@
         });
     }
 
+    fn pace(&self, at: Name, addr: Name, run: RunId, percent: u32) {
+        let upstreams = self.upstreams.clone();
+        let target = self.target(&at, addr);
+        self.spawn(async move {
+            let answer = upstreams.pace(target, run.clone(), percent).await;
+            Event::Paced { at, run, answer }
+        });
+    }
+
     fn hold(&self, at: Name, addr: Name, mark: u64, order: HoldOrder) {
         let upstreams = self.upstreams.clone();
         let target = self.target(&at, addr);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod journal;
 mod learn;
 pub mod model;
+mod pace;
 mod place;
 mod plan;
 pub mod ports;
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -364,7 +364,9 @@
         let Some(job) = self.jobs.get_mut(&wait.job) else {
             return;
         };
-        let need = job.spec.steps[wait.step as usize].need();
+        let step = &job.spec.steps[wait.step as usize];
+        let need = step.need();
+        let shares = step.fills || step.target_ms > 0;
         let place = |index| Place {
             turn: wait.turn,
             step: wait.step,
@@ -391,6 +393,8 @@
                     percent: 0,
                     moved: now,
                     saved_at: now,
+                    pace: Some(100),
+                    pace_at: now,
                 });
             }
             runs.push((at, run_id(&wait.job, place(index), number)));
@@ -412,6 +416,8 @@
         for (at, run) in runs {
             if let Some(upstream) = self.upstreams.get_mut(&at) {
                 upstream.take(run.clone(), need);
+                upstream.mixed |= shares;
+                upstream.look |= shares;
             }
             self.send_start(now, &at, &run);
         }
--- a/src/fleet/ports.rs
+++ b/src/fleet/ports.rs
@@ -3,9 +3,9 @@
 use super::event::Downed;
 use super::event::Event;
 use super::event::Held;
+use super::event::Ordered;
 use super::event::Reading;
 use super::event::Started;
-use super::event::Stopped;
 use super::model::Config;
 use super::model::Listing;
 use super::model::Machine;
@@ -210,7 +210,10 @@
     fn start(&self, target: Target, order: StartOrder) -> Wait<'_, (Started, Option<Reading>)>;
 
     /// Orders a stop.
-    fn stop(&self, target: Target, run: RunId) -> Wait<'_, (Stopped, Option<Reading>)>;
+    fn stop(&self, target: Target, run: RunId) -> Wait<'_, (Ordered, Option<Reading>)>;
+
+    /// Lets a run work at `percent` of its speed.
+    fn pace(&self, target: Target, run: RunId, percent: u32) -> Wait<'_, Ordered>;
 
     /// Renews leases and asks for a report.
     fn hold(&self, target: Target, order: HoldOrder) -> Wait<'_, (Held, Option<Reading>)>;
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -7,9 +7,9 @@
 use super::ends::keeper_of;
 use super::event::AtWork;
 use super::event::Held;
+use super::event::Ordered;
 use super::event::Report;
 use super::event::Started;
-use super::event::Stopped;
 use super::gauge;
 use super::model::RunId;
 use super::scheduler::Scheduler;
@@ -181,18 +181,18 @@
     }
 
     /// Handles the response to an order to stop.
-    pub(super) fn stopped(&mut self, now: u64, at: &Name, run: &RunId, answer: Stopped) {
+    pub(super) fn stopped(&mut self, now: u64, at: &Name, run: &RunId, answer: Ordered) {
         match answer {
-            Stopped::Fenced => self.resign(format!("upstream {at} has seen a higher token")),
-            Stopped::OtherLife => self.life_ended(now, at),
-            Stopped::Yes => {
+            Ordered::Fenced => self.resign(format!("upstream {at} has seen a higher token")),
+            Ordered::OtherLife => self.life_ended(now, at),
+            Ordered::Yes => {
                 let mark = self.mark;
                 if let Some(live) = self.live_of(at, run) {
                     live.known = Some(mark);
                     self.look(at);
                 }
             }
-            Stopped::Silent => {
+            Ordered::Silent => {
                 if let Some(live) = self.live_of(at, run) {
                     live.moved = now;
                 }
@@ -274,6 +274,7 @@
         for work in &report.running {
             self.at_work(now, at, mark, work);
         }
+        self.pace(now, at, &report);
         self.find_vanished(now, at, mark, &report);
     }
 
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -199,6 +199,7 @@
                 self.read_clock(&at, clock);
                 self.stopped(now, &at, &run, answer);
             }
+            Event::Paced { at, run, answer } => self.paced(now, &at, &run, answer),
             Event::Held {
                 at,
                 mark,
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -43,6 +43,10 @@
     pub(super) moved: u64,
     /// When something was last saved, own time.
     pub(super) saved_at: u64,
+    /// The share of its speed that it was given, in percent; none if that is unknown.
+    pub(super) pace: Option<u32>,
+    /// When that share was last changed, own time.
+    pub(super) pace_at: u64,
 }
 
 /// One task.
@@ -353,6 +357,8 @@
         percent: 0,
         moved: now,
         saved_at: now,
+        pace: None,
+        pace_at: now,
     });
     Task {
         runs: row.runs,
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -12,6 +12,9 @@
 /// The wait between two renewals while ends wait for the store, in milliseconds: well below the
 /// lease.
 const UNSTORED_MS: u64 = 1_000;
+/// The longest wait of a renewal where tasks that serve may be disturbed, in milliseconds: their
+/// tails are those of the last half second.
+const MIXED_WAIT_MS: u64 = 500;
 /// The shortest time between two reports of one upstream, in milliseconds.
 const LOOK_GAP_MS: u64 = 60;
 
@@ -67,6 +70,10 @@
     pub(super) told: u64,
     /// When its machine goes down for maintenance at the latest, own time.
     pub(super) clearing: Option<u64>,
+    /// Whether tasks that serve and tasks that fill run there, or may.
+    pub(super) mixed: bool,
+    /// When its filling tasks were last paced, own time.
+    pub(super) paced_at: u64,
     /// Until when it gets no new work, own time.
     pub(super) shut_until: u64,
     /// Jobs that failed here in a row.
@@ -101,6 +108,8 @@
             seen: 0,
             handled: 0,
             clearing: None,
+            mixed: false,
+            paced_at: 0,
             shut_until: 0,
             failed: Vec::new(),
             quarantines: 0,
@@ -243,7 +252,11 @@
         self.look = false;
         Renewal::Send {
             until_ms,
-            wait_ms: if patient { timing.wait_ms() } else { 0 },
+            wait_ms: match (patient, self.mixed) {
+                (false, _) => 0,
+                (true, false) => timing.wait_ms(),
+                (true, true) => timing.wait_ms().min(MIXED_WAIT_MS),
+            },
         }
     }
 
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -37,6 +37,8 @@
     pub number: u32,
     pub start: u64,
     pub end: u64,
+    /// The share of its speed that it was given, in percent.
+    pub pace: u32,
 }
 
 /// One upstream.
@@ -49,8 +51,12 @@
     pub seen: u64,
     pub lease: u64,
     pub barred: HashMap<TaskId, u32>,
-    /// The mark of the renewal under way, and until when it waits.
-    pub hold: Option<(u64, u64)>,
+    /// The marks of renewals under way, and until when they wait.
+    pub holds: Vec<(u64, u64)>,
+    /// The tail of tasks that last while nothing disturbs them, in milliseconds.
+    pub calm_ms: u64,
+    /// What each other task adds to it at full speed, in milliseconds.
+    pub harm_ms: u64,
     /// When it is gone, with all that runs there.
     pub leaves: Option<u64>,
     ends: u64,
@@ -67,7 +73,9 @@
             seen: 0,
             lease: 0,
             barred: HashMap::new(),
-            hold: None,
+            holds: Vec::new(),
+            calm_ms: 0,
+            harm_ms: 0,
             leaves: None,
             ends: 0,
         }
@@ -116,6 +124,13 @@
         }
     }
 
+    /// The tail of its tasks that last, in milliseconds.
+    pub(crate) fn tail_ms(&self) -> u64 {
+        let others = self.running.values().filter(|run| !run.lasts());
+        let harm = others.map(|run| self.harm_ms * u64::from(run.pace) / 100);
+        self.calm_ms + harm.sum::<u64>()
+    }
+
     /// Tells what it holds.
     pub(crate) fn report(&self, now: u64) -> Report {
         let running = self.running.iter().map(|(task, run)| AtWork {
@@ -125,6 +140,7 @@
             },
             saved: String::new(),
             percent: percent(now, run),
+            figure: if run.lasts() { self.tail_ms() } else { 0 },
         });
         Report {
             born: self.listing.born,
@@ -134,9 +150,15 @@
     }
 }
 
+impl Running {
+    fn lasts(&self) -> bool {
+        self.end - self.start > LASTS_MS
+    }
+}
+
 fn percent(now: u64, run: &Running) -> u32 {
     let whole = run.end - run.start;
-    if whole > LASTS_MS {
+    if run.lasts() {
         return if run.start + WARM_MS <= now { 100 } else { 50 };
     }
     let done = (now - run.start) * 100 / whole.max(1);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod lasting;
 mod load;
 mod once;
+mod pace;
 mod preempt;
 mod steps;
 mod timed;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -14,11 +14,11 @@
 use trefoilgauge::fleet::event::Ask;
 use trefoilgauge::fleet::event::Call;
 use trefoilgauge::fleet::event::Held;
+use trefoilgauge::fleet::event::Ordered;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::event::Reading;
 use trefoilgauge::fleet::event::Reply;
 use trefoilgauge::fleet::event::Started;
-use trefoilgauge::fleet::event::Stopped;
 use trefoilgauge::fleet::model::Config;
 use trefoilgauge::fleet::model::How;
 use trefoilgauge::fleet::model::Listing;
@@ -54,6 +54,10 @@
     pub rows: BTreeMap<String, Vec<u8>>,
     pub upstreams: BTreeMap<Name, Fake>,
     pub begun: Vec<Begun>,
+    /// Orders to pace a run.
+    pub paces: u32,
+    /// Whether the next of them is lost.
+    pub lose_pace: bool,
     pub cloud: Cloud,
     /// What the operators were told of waves.
     pub told: Vec<(u64, bool)>,
@@ -144,6 +148,8 @@
             rows: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             begun: Vec::new(),
+            paces: 0,
+            lose_pace: false,
             cloud: Cloud::default(),
             told: Vec::new(),
             store_down: false,
@@ -196,7 +202,7 @@
         });
         let rows = rows.collect();
         for fake in self.upstreams.values_mut() {
-            fake.hold = None;
+            fake.holds.clear();
         }
         self.scheduler =
             Scheduler::load(timing(), rows, self.now, WALL_MS + self.now, 16_000).unwrap();
@@ -286,7 +292,7 @@
     pub(crate) fn report_without(&mut self, at: &Name, id: u64) -> Event {
         let job = format!("{id:016x}");
         let fake = self.upstreams.get_mut(at).unwrap();
-        let (mark, _) = fake.hold.take().unwrap();
+        let (mark, _) = fake.holds.remove(0);
         let mut report = fake.report(self.now);
         report.running.retain(|work| *work.run.task.job != *job);
         report.ended.clear();
@@ -405,6 +411,18 @@
                 at, run, until_ms, ..
             } => self.start(&at, run, until_ms),
             Effect::Stop { at, run, .. } => self.stop(&at, run),
+            Effect::Pace {
+                at, run, percent, ..
+            } => {
+                self.paces += 1;
+                let lost = std::mem::take(&mut self.lose_pace);
+                let fake = self.upstreams.get_mut(&at).unwrap();
+                if let Some(running) = fake.running.get_mut(&run.task).filter(|_| !lost) {
+                    running.pace = percent;
+                }
+                let answer = if lost { Ordered::Silent } else { Ordered::Yes };
+                self.scheduler.step(now, Event::Paced { at, run, answer });
+            }
             Effect::Hold {
                 at,
                 until_ms,
@@ -430,7 +448,7 @@
                 fake.seen = fake.seen.max(seen);
                 let seen = fake.seen;
                 fake.ended.retain(|end| end.number > seen);
-                fake.hold = Some((mark, now + wait_ms));
+                fake.holds.push((mark, now + wait_ms));
             }
         }
     }
@@ -467,6 +485,7 @@
                     number: run.number,
                     start: now,
                     end,
+                    pace: 100,
                 };
                 fake.running.insert(run.task.clone(), started);
                 if mood == Mood::Mute && first {
@@ -493,11 +512,11 @@
         let now = self.now;
         let fake = self.upstreams.get_mut(at).unwrap();
         let answer = if fake.mood == Mood::Silent {
-            Stopped::Silent
+            Ordered::Silent
         } else {
             fake.barred.insert(run.task.clone(), run.number);
             fake.end(&run.task, How::Stopped);
-            Stopped::Yes
+            Ordered::Yes
         };
         let event = Event::Stopped {
             at: at.clone(),
@@ -526,35 +545,28 @@
         let now = self.now;
         let mut events = Vec::new();
         for (at, fake) in &mut self.upstreams {
-            let Some((mark, until)) = fake.hold else {
-                continue;
-            };
             let silent = fake.mood == Mood::Silent;
-            if silent && until + HOLD_LATE_MS > now
-                || !silent && fake.ended.is_empty() && until > now
-            {
-                continue;
-            }
-            fake.hold = None;
-            if silent {
+            let ended = !fake.ended.is_empty();
+            let due = |(_, until): &mut (u64, u64)| match silent {
+                true => *until + HOLD_LATE_MS <= now,
+                false => ended || *until <= now,
+            };
+            let marks: Vec<(u64, u64)> = fake.holds.extract_if(.., due).collect();
+            for (mark, _) in marks {
+                let (answer, clock) = if silent {
+                    (Held::Silent, None)
+                } else {
+                    let clock_ms = now;
+                    let clock = Reading { clock_ms, at: now };
+                    (Held::Report(fake.report(now)), Some(clock))
+                };
                 events.push(Event::Held {
                     at: at.clone(),
                     mark,
-                    answer: Held::Silent,
-                    clock: None,
+                    answer,
+                    clock,
                 });
-                continue;
             }
-            let report = fake.report(now);
-            events.push(Event::Held {
-                at: at.clone(),
-                mark,
-                answer: Held::Report(report),
-                clock: Some(Reading {
-                    clock_ms: now,
-                    at: now,
-                }),
-            });
         }
         for event in events {
             self.scheduler.step(now, event);
