fix(tests): wait as long as pacing needs after a lost order

It waited 5 s for a share that is raised from an unknown one, taken for a half, in five steps of about a second each. It waits 10 s now; without the order after a lost one it still fails.

--- a/tests/fleet/pace.rs
+++ b/tests/fleet/pace.rs
@@ -131,6 +131,7 @@
         world.pass(10);
     }
     world.lose_pace = true;
-    world.pass(5_000);
+    // An unknown share is taken for a half, and each step of 10% takes about a second.
+    world.pass(10_000);
     assert_eq!(pace(&world), 100);
 }
