feat(ctl): explain a job from collected logs, and number every line of them

Cause: the lines of trefoil-vm had no numbers, EVENTS.md did not know them, no test held the guide to the code, and trefoilctl explain read only the own platform's log. On-call engineers searched by hand.

TG1601 names the upstreams of single tasks.

--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -1,7 +1,8 @@
-//! `trefoilctl explain`: every step of a request or job, from the log alone.
+//! `trefoilctl explain`: every step of a request or job, from the log alone or from collected logs.
 
 use super::Error;
 use super::Result;
+use super::lines;
 use super::log::Log;
 use super::render;
 use super::steps::Collector;
@@ -24,6 +25,9 @@
     /// the identifier
     #[argh(positional)]
     id: String,
+    /// a file with what trefoil-vm wrote, - for standard input; may be given for each VM
+    #[argh(option)]
+    logs: Vec<String>,
     /// the address of the log, IP:port
     #[argh(option)]
     log: Option<String>,
@@ -39,6 +43,9 @@
 }
 
 pub(super) async fn run(args: &Args) -> Result<()> {
+    if !args.logs.is_empty() {
+        return lines::explain(&args.id, &args.logs, args.json);
+    }
     let addr = targets::log_addr(args.log.as_deref(), args.settings.as_deref())?;
     let log = Log::open(addr, args.call_ms);
     let id: Name = args.id.as_str().into();
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 mod explain;
 mod ledger;
+mod lines;
 mod log;
 mod print_config;
 mod publish;
--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -106,7 +106,7 @@
         }
         if let Some(refusal) = self.admit(queue, &spec) {
             log::info!(
-                "job={id} queue={} refused why={:?} wait_ms={}",
+                "TG1202 job={id} queue={} refused why={:?} wait_ms={}",
                 queue.name,
                 refusal.why,
                 refusal.wait_ms
@@ -118,7 +118,7 @@
         }
         let wall_ms = self.wall_ms(now);
         log::info!(
-            "job={id} queue={} workspace={workspace} accepted config={}",
+            "TG1201 job={id} queue={} workspace={workspace} accepted config={}",
             queue.name,
             self.config.as_ref().map_or(0, |config| config.version)
         );
--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -51,7 +51,7 @@
         self.save(now, run, &end.saved);
         if end.how != How::Done {
             log::info!(
-                "job={} step={} index={} run={} upstream={at} ended={:?} after_ms={}",
+                "TG1604 job={} step={} index={} run={} upstream={at} ended={:?} after_ms={}",
                 run.task.job,
                 place.step,
                 place.index,
@@ -105,7 +105,7 @@
         if how.is_none() {
             gauge::settled();
             log::info!(
-                "job={} step={} index={} run={} upstream={} settled as not running stage={:?}",
+                "TG1605 job={} step={} index={} run={} upstream={} settled as not running stage={:?}",
                 run.task.job,
                 place.step,
                 place.index,
@@ -246,7 +246,7 @@
             upstream.quarantines += 1;
             upstream.failed.truncate(1);
             upstream.shut(now + wait);
-            log::warn!("upstream={at} fails what it starts; no new work for {wait} ms");
+            log::warn!("TG1510 upstream={at} fails what it starts; no new work for {wait} ms");
         }
     }
 
@@ -255,7 +255,7 @@
         let Some(upstream) = self.upstreams.get_mut(at) else {
             return;
         };
-        log::warn!("upstream={at} gone: its address answers for another process");
+        log::warn!("TG1508 upstream={at} gone: its address answers for another process");
         upstream.listed = false;
         self.settle_all(now, at);
     }
--- a/src/fleet/evacuate.rs
+++ b/src/fleet/evacuate.rs
@@ -63,7 +63,7 @@
                 };
                 if outlook.is_due(now) {
                     log::info!(
-                        "job={} step={} index={} run={} upstream={at} leaves_in_ms={} ends_in_ms={:?} moved",
+                        "TG1608 job={} step={} index={} run={} upstream={at} leaves_in_ms={} ends_in_ms={:?} moved",
                         run.task.job,
                         run.task.step,
                         run.task.index,
--- a/src/fleet/gauge.rs
+++ b/src/fleet/gauge.rs
@@ -49,7 +49,7 @@
         .with_state(handle);
     let serving = tokio::spawn(async move {
         if let Err(error) = axum::serve(listener, router).await {
-            log::error!("metrics are not served any more: {error}");
+            log::error!("TG1108 metrics are not served any more: {error}");
         }
     });
     let keeping = tokio::spawn(async move {
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -279,7 +279,7 @@
             return None;
         }
         log::info!(
-            "call path={} declined config_age_ms={old} store_stalled={stalled}",
+            "TG1203 call path={} declined config_age_ms={old} store_stalled={stalled}",
             what.path
         );
         Some(Reply::Unavailable {
@@ -408,7 +408,7 @@
         match store.append(Area::Jobs, terms, rows).await {
             Ok(()) => {
                 if warned {
-                    log::info!("store answers again");
+                    log::info!("TG1402 store answers again");
                 }
                 return Ok(sent);
             }
@@ -417,7 +417,7 @@
                 gauge::store_failed("append");
                 if !warned {
                     warned = true;
-                    log::warn!("store append failed, retrying: {error}");
+                    log::warn!("TG1401 store append failed, retrying: {error}");
                 }
                 tokio::time::sleep(Duration::from_millis(AGAIN_MS)).await;
             }
--- a/src/fleet/host/hands.rs
+++ b/src/fleet/host/hands.rs
@@ -85,7 +85,9 @@
             Effect::Reply { .. }
             | Effect::Noted { .. }
             | Effect::Sealed { .. }
-            | Effect::Resign { .. } => log::error!("the leader's own effect came as an order"),
+            | Effect::Resign { .. } => {
+                log::error!("TG1315 the leader's own effect came as an order")
+            }
         }
     }
 
@@ -161,7 +163,9 @@
 
     fn list_machines(&self) {
         let Some(machines) = self.machines.clone() else {
-            log::error!("maintenance is ordered, and the settings name no address of machines");
+            log::error!(
+                "TG1708 maintenance is ordered, and the settings name no address of machines"
+            );
             return;
         };
         self.spawn(async move { Event::Machines(machines.list().await) });
@@ -188,7 +192,9 @@
             let told = store.announce(wave, completed).await;
             if let Err(error) = &told {
                 gauge::store_failed("announce");
-                log::warn!("wave={wave} completed={completed} not announced, retrying: {error}");
+                log::warn!(
+                    "TG1707 wave={wave} completed={completed} not announced, retrying: {error}"
+                );
             }
             Event::Announced {
                 wave,
--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -168,7 +168,7 @@
         };
         let result = self.write(&row).await;
         log::info!(
-            "lead claimed epoch={} at={} result={result:?}",
+            "TG1301 lead claimed epoch={} at={} result={result:?}",
             row.epoch,
             self.lead.end
         );
@@ -192,7 +192,7 @@
         loop {
             let lost = match link::open(&row.addr).await {
                 Ok((link, wire)) => {
-                    log::info!("leader={} epoch={} connected", row.name, row.epoch);
+                    log::info!("TG1302 leader={} epoch={} connected", row.name, row.epoch);
                     declined = 0;
                     let pulse = link.pulse();
                     self.desk.send_replace(Desk::There(link));
@@ -200,7 +200,7 @@
                         lost = wire.run() => lost,
                         lead = self.unproven(pulse) => {
                             self.desk.send_replace(Desk::None);
-                            log::warn!("leader={} has lost the store or the lead", row.name);
+                            log::warn!("TG1303 leader={} has lost the store or the lead", row.name);
                             self.lead = lead;
                             return self.names(row);
                         }
@@ -213,7 +213,11 @@
                 Err(lost) => lost,
             };
             self.desk.send_replace(Desk::None);
-            log::warn!("leader={} epoch={} lost: {lost:?}", row.name, row.epoch);
+            log::warn!(
+                "TG1304 leader={} epoch={} lost: {lost:?}",
+                row.name,
+                row.epoch
+            );
             match lost {
                 Lost::Closed(_) if declined < DECLINED_TRIES => {
                     declined += 1;
@@ -299,7 +303,7 @@
         sleep(Duration::from_millis(CHALLENGE_MS)).await;
         self.refresh().await?;
         let answered = beat(&self.lead) != before;
-        log::info!("leader={} challenged answered={answered}", row.name);
+        log::info!("TG1305 leader={} challenged answered={answered}", row.name);
         Ok(answered)
     }
 
@@ -309,7 +313,7 @@
         let (scheduler, sequence) = match self.load(row.epoch).await {
             Ok(loaded) => loaded,
             Err(error) => {
-                log::warn!("epoch={} lead cannot be taken: {error}", row.epoch);
+                log::warn!("TG1306 epoch={} lead cannot be taken: {error}", row.epoch);
                 sleep(Duration::from_millis(AGAIN_MS)).await;
                 return;
             }
@@ -318,7 +322,7 @@
         let store = &self.parts.store;
         let configs = tokio::spawn(watch::directives(store.clone(), engine.clone()));
         let sightings = tokio::spawn(watch::sightings(store.clone(), engine.clone()));
-        log::info!("leading epoch={}", row.epoch);
+        log::info!("TG1307 leading epoch={}", row.epoch);
         gauge::leads(true);
         self.desk.send_replace(Desk::Here(engine.clone()));
         let mut leaving = self.leaving.clone();
@@ -344,7 +348,7 @@
         gauge::leads(false);
         configs.abort();
         sightings.abort();
-        log::info!("epoch={} lead given up: {why}", row.epoch);
+        log::info!("TG1308 epoch={} lead given up: {why}", row.epoch);
         self.vacate(row).await;
     }
 
@@ -406,7 +410,10 @@
                     }];
                     let terms = Terms::At(lead.end);
                     let result = self.parts.store.append(Area::Lead, terms, &rows).await;
-                    log::info!("epoch={} challenge answered result={result:?}", row.epoch);
+                    log::info!(
+                        "TG1309 epoch={} challenge answered result={result:?}",
+                        row.epoch
+                    );
                 }
                 Err(Error::Moved) => {
                     if let Ok(rows) = self.parts.store.newest(Area::Lead).await {
@@ -432,7 +439,7 @@
                 ..row
             })
             .await;
-        log::info!("lead left vacant result={result:?}");
+        log::info!("TG1310 lead left vacant result={result:?}");
     }
 }
 
@@ -446,7 +453,7 @@
         }
         match LeadRow::decode(&*row.value) {
             Ok(found) => lead.row = Some(found),
-            Err(error) => log::warn!("the leader's row cannot be decoded: {error}"),
+            Err(error) => log::warn!("TG1311 the leader's row cannot be decoded: {error}"),
         }
     }
     lead.end = rows.end;
--- a/src/fleet/host/link.rs
+++ b/src/fleet/host/link.rs
@@ -157,7 +157,7 @@
         let frame = match Frame::decode(bytes) {
             Ok(frame) => frame,
             Err(error) => {
-                log::warn!("a frame of the leader cannot be read: {error}");
+                log::warn!("TG1312 a frame of the leader cannot be read: {error}");
                 return;
             }
         };
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -114,7 +114,7 @@
                 Desk::There(_) => "elsewhere",
             };
             log::info!(
-                "call path={path} reply={reply:?} leader={leader} after_ms={}",
+                "TG1204 call path={path} reply={reply:?} leader={leader} after_ms={}",
                 started.elapsed().as_millis()
             );
         }
--- a/src/fleet/host/relay.rs
+++ b/src/fleet/host/relay.rs
@@ -50,7 +50,7 @@
                     tokio::spawn(serve(stream, desk.clone(), shared.clone()));
                 }
                 Err(error) => {
-                    log::warn!("a connection of another VM cannot be accepted: {error}");
+                    log::warn!("TG1314 a connection of another VM cannot be accepted: {error}");
                     tokio::time::sleep(std::time::Duration::from_millis(100)).await;
                 }
             }
@@ -73,7 +73,7 @@
                 match Frame::decode(&*bytes) {
                     Ok(frame) => take(frame, &desk, &tx),
                     Err(error) => {
-                        log::warn!("a frame of another VM cannot be read: {error}");
+                        log::warn!("TG1313 a frame of another VM cannot be read: {error}");
                         return;
                     }
                 }
--- a/src/fleet/host/watch.rs
+++ b/src/fleet/host/watch.rs
@@ -30,7 +30,7 @@
         match store.directives(from, CONFIG_WAIT_MS).await {
             Ok(feed) => {
                 if std::mem::take(&mut lost) {
-                    log::info!("configuration is followed again");
+                    log::info!("TG1405 configuration is followed again");
                 }
                 from = Some(feed.next);
                 for directive in feed.items {
@@ -41,7 +41,7 @@
             Err(error) => {
                 gauge::store_failed("directives");
                 if !std::mem::replace(&mut lost, true) {
-                    log::warn!("configuration cannot be followed: {error}");
+                    log::warn!("TG1404 configuration cannot be followed: {error}");
                 }
                 from = None;
                 tokio::time::sleep(Duration::from_millis(AGAIN_MS)).await;
@@ -59,7 +59,7 @@
         match store.sightings(from).await {
             Ok(feed) => {
                 if std::mem::take(&mut lost) {
-                    log::info!("discovery is followed again");
+                    log::info!("TG1407 discovery is followed again");
                 }
                 from = Some(feed.next);
                 for event in events(feed, &mut known) {
@@ -70,7 +70,7 @@
             Err(error) => {
                 gauge::store_failed("sightings");
                 if !std::mem::replace(&mut lost, true) {
-                    log::warn!("discovery cannot be followed: {error}");
+                    log::warn!("TG1406 discovery cannot be followed: {error}");
                 }
                 from = None;
                 tokio::time::sleep(Duration::from_millis(AGAIN_MS)).await;
--- a/src/fleet/journal.rs
+++ b/src/fleet/journal.rs
@@ -77,7 +77,7 @@
         }
         self.spent += 1;
         if self.dropped > 0 {
-            let text = format!("log lines left out={}\n", self.dropped);
+            let text = format!("TG1109 log lines left out={}\n", self.dropped);
             if self.tx.try_send(text.into_bytes()).is_ok() {
                 self.dropped = 0;
             }
--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -111,7 +111,7 @@
         if before != Some(percent) {
             live.pace_at = now;
             log::info!(
-                "job={} step={} index={} run={} upstream={at} pace={percent} before={before:?} \
+                "TG1609 job={} step={} index={} run={} upstream={at} pace={percent} before={before:?} \
                  tails_and_targets_ms={tails:?}",
                 run.task.job,
                 run.task.step,
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -226,7 +226,7 @@
         wait: &Waiting,
         wish: &Wish<'_>,
     ) -> bool {
-        let mut placed = 0;
+        let mut placed = Vec::new();
         for &index in &wait.tasks {
             let place = Place {
                 turn: wait.turn,
@@ -244,20 +244,22 @@
             let Some(spot) = spot else {
                 break;
             };
+            placed.push(board.spots[spot].name.clone());
             self.start(now, board, wait, &[(index, spot)]);
-            placed += 1;
         }
-        if placed > 0 {
+        if !placed.is_empty() {
             log::info!(
-                "job={} turn={} step={} placed={placed} of={} waited_ms={}",
+                "TG1601 job={} turn={} step={} placed={} of={} at={:?} waited_ms={}",
                 wait.job,
                 wait.turn,
                 wait.step,
+                placed.len(),
                 wait.tasks.len(),
+                placed.iter().map(|at| &**at).collect::<Vec<_>>(),
                 now.saturating_sub(wait.since)
             );
         }
-        placed == wait.tasks.len()
+        placed.len() == wait.tasks.len()
     }
 
     /// Places a gang, or makes room for it; returns whether either was possible.
@@ -402,7 +404,7 @@
         gauge::placed(pairs.len(), now.saturating_sub(wait.since));
         if pairs.len() > 1 {
             log::info!(
-                "job={} turn={} step={} run={number} tasks={} placed at={:?} waited_ms={}",
+                "TG1602 job={} turn={} step={} run={number} tasks={} placed at={:?} waited_ms={}",
                 wait.job,
                 wait.turn,
                 wait.step,
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -51,7 +51,7 @@
             .map(|&at| board.spots[at].name.clone())
             .collect();
         log::info!(
-            "job={} step={} preempts={} spots={names:?} waited_ms={}",
+            "TG1606 job={} step={} preempts={} spots={names:?} waited_ms={}",
             wait.job,
             wait.step,
             found.victims.len(),
@@ -63,7 +63,7 @@
             victims.take(index);
             let victim = &victims.all[index];
             log::info!(
-                "job={} step={} preempted by={} waste_core_s={:.0}",
+                "TG1607 job={} step={} preempted by={} waste_core_s={:.0}",
                 victim.job,
                 victim.place.step,
                 wait.job,
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -66,7 +66,7 @@
             _ => {}
         }
         log::info!(
-            "job={} step={} index={} run={} upstream={at} start={answer:?} tries={tries}",
+            "TG1603 job={} step={} index={} run={} upstream={at} start={answer:?} tries={tries}",
             run.task.job,
             run.task.step,
             run.task.index,
@@ -223,7 +223,7 @@
                 upstream.retry_at = now + RETRY_MS * u64::from(upstream.misses.min(MAX_BACKOFF));
                 if upstream.misses == MISSES_SUSPECT {
                     log::warn!(
-                        "upstream={at} silent misses={} runs={} leases_end_in_ms={}",
+                        "TG1505 upstream={at} silent misses={} runs={} leases_end_in_ms={}",
                         upstream.misses,
                         upstream.runs.len(),
                         upstream.lease_end.saturating_sub(now)
@@ -233,7 +233,7 @@
             Held::Report(report) => {
                 upstream.told(mark);
                 if upstream.misses > 0 {
-                    log::info!("upstream={at} answers again");
+                    log::info!("TG1506 upstream={at} answers again");
                     upstream.misses = 0;
                     self.changed = true;
                 }
@@ -250,7 +250,7 @@
         if report.born != 0 && report.born != known {
             if known != 0 {
                 log::warn!(
-                    "upstream={at} restarted born={} before={known}",
+                    "TG1507 upstream={at} restarted born={} before={known}",
                     report.born
                 );
                 upstream.reborn();
@@ -282,7 +282,7 @@
         let Some(live) = self.live_of(at, &work.run) else {
             if self.is_foreign(&work.run) {
                 log::warn!(
-                    "job={} run={} upstream={at} is at work though it was settled; stopping it",
+                    "TG1513 job={} run={} upstream={at} is at work though it was settled; stopping it",
                     work.run.task.job,
                     work.run.number
                 );
@@ -355,7 +355,9 @@
             .map(|(name, _)| name.clone())
             .collect();
         for at in expired {
-            log::warn!("upstream={at} unreachable until every lease expired; settling its runs");
+            log::warn!(
+                "TG1509 upstream={at} unreachable until every lease expired; settling its runs"
+            );
             self.settle_all(now, &at);
         }
         let mut again = Vec::new();
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -291,7 +291,7 @@
             .is_none_or(|held| held.version < config.version);
         if newer {
             log::info!(
-                "configuration version={} queues={} keys={} in force",
+                "TG1403 configuration version={} queues={} keys={} in force",
                 config.version,
                 config.queues.len(),
                 config.keys.len()
@@ -305,7 +305,7 @@
         for listing in listings {
             let Some(known) = self.upstreams.get_mut(&listing.id) else {
                 log::info!(
-                    "upstream={} service={} rack={} listed",
+                    "TG1501 upstream={} service={} rack={} listed",
                     listing.id,
                     listing.service,
                     listing.rack()
@@ -316,7 +316,11 @@
                 continue;
             };
             if known.listing.ready != listing.ready || !known.listed {
-                log::info!("upstream={} takes new work: {}", listing.id, listing.ready);
+                log::info!(
+                    "TG1502 upstream={} takes new work: {}",
+                    listing.id,
+                    listing.ready
+                );
                 self.changed = true;
             }
             known.rack = listing.rack();
@@ -336,7 +340,10 @@
             let Some(known) = self.upstreams.get_mut(name) else {
                 continue;
             };
-            log::info!("upstream={name} left discovery runs={}", known.runs.len());
+            log::info!(
+                "TG1503 upstream={name} left discovery runs={}",
+                known.runs.len()
+            );
             known.listed = false;
             if known.runs.is_empty() && known.holds == 0 {
                 self.upstreams.remove(name);
@@ -399,7 +406,7 @@
             return;
         }
         log::info!(
-            "job={id} queue={} closed as {phase:?} age_ms={}",
+            "TG1205 job={id} queue={} closed as {phase:?} age_ms={}",
             job.queue,
             now.saturating_sub(job.arrived)
         );
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -171,7 +171,7 @@
             log::debug!("wave={number} was completed before");
         } else {
             log::info!(
-                "wave={number} machines={} within_ms={} maximum={} taken_over={}",
+                "TG1701 wave={number} machines={} within_ms={} maximum={} taken_over={}",
                 wave.machines.len(),
                 wave.within_ms,
                 wave.maximum,
@@ -196,7 +196,7 @@
 
     /// Handles the response to an order to take a machine down.
     pub(super) fn downed(&mut self, now: u64, machine: &Name, wave: u64, answer: Downed) {
-        log::info!("wave={wave} machine={machine} down={answer:?}");
+        log::info!("TG1703 wave={wave} machine={machine} down={answer:?}");
         if answer == Downed::Fenced {
             self.resign(format!("machine {machine} has seen a higher token"));
             return;
@@ -219,7 +219,9 @@
             }
         };
         if *stage == Stage::Done {
-            log::error!("wave={wave} machine={machine} is left out: the platform knows no such");
+            log::error!(
+                "TG1704 wave={wave} machine={machine} is left out: the platform knows no such"
+            );
         }
     }
 
@@ -284,7 +286,7 @@
         open.told = next;
         if over {
             log::info!(
-                "wave={} completed after_ms={} within_ms={}",
+                "TG1706 wave={} completed after_ms={} within_ms={}",
                 open.wave.number,
                 now.saturating_sub(open.since),
                 open.wave.within_ms
@@ -313,7 +315,7 @@
                 upstream.clearing = Some(until);
             }
             log::info!(
-                "wave={} machine={id} cleared within_ms={}",
+                "TG1702 wave={} machine={id} cleared within_ms={}",
                 open.wave.number,
                 until - now
             );
@@ -355,7 +357,7 @@
                 && machine.is_some_and(|machine| machine.up);
             if *stage != Stage::Done && (gone || back) {
                 log::info!(
-                    "wave={} machine={id} back={back} gone={gone}",
+                    "TG1705 wave={} machine={id} back={back} gone={gone}",
                     open.wave.number
                 );
                 *stage = Stage::Done;
--- a/tests/ctl_commands.rs
+++ b/tests/ctl_commands.rs
@@ -362,3 +362,78 @@
         ended.err
     );
 }
+
+#[tokio::test]
+async fn a_job_is_explained_from_collected_logs() {
+    let folder = TempDir::new().unwrap();
+    let time = |second: u32| format!("2026-12-04T08:00:{second:02}.500000000Z");
+    let job = "978a903b0a292343";
+    let one = [
+        format!("{} [INFO] TG1101 start vm=vm-1 centre=a", time(1)),
+        format!("{} [INFO] TG1307 leading epoch=3", time(2)),
+        format!(
+            "{} [INFO] TG1201 job={job} queue=q workspace=w accepted config=4",
+            time(10)
+        ),
+        format!(
+            "{} [INFO] TG1201 job=0000000000000001 queue=q accepted",
+            time(10)
+        ),
+        format!(
+            "{} [WARN] TG1505 upstream=i-2 silent misses=2 runs=1",
+            time(12)
+        ),
+        format!(
+            "{} [WARN] TG1505 upstream=i-9 silent misses=2 runs=1",
+            time(12)
+        ),
+        format!(
+            "{} [INFO] TG1308 epoch=3 lead given up: told to leave",
+            time(13)
+        ),
+        "not a line of a log".to_owned(),
+    ];
+    // A collector has put the second and the name of the VM before each line.
+    let two = [
+        format!("13.6 vm-2 {} [INFO] TG1307 leading epoch=4", time(13)),
+        format!(
+            "15.1 vm-2 {} [INFO] TG1605 job={job} step=0 upstream=i-2 settled",
+            time(15)
+        ),
+        format!(
+            "16.2 vm-2 {} [INFO] TG1204 call path=/q/{job} reply=Unknown",
+            time(16)
+        ),
+        format!(
+            "40.0 vm-2 {} [INFO] TG1308 epoch=4 lead given up: later",
+            time(40)
+        ),
+    ];
+    let mut words = vec!["explain".to_owned(), job.to_owned()];
+    for (name, lines) in [("1.log", one.join("\n")), ("2.log", two.join("\n"))] {
+        let path = folder.path().join(name);
+        std::fs::write(&path, lines).unwrap();
+        words.extend(["--logs".to_owned(), path.display().to_string()]);
+    }
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let ended = ctl(&words).await;
+    assert_eq!(Some(0), ended.code, "{ended:?}");
+    let cells = |line: &str| -> Vec<String> {
+        let words = line.split_whitespace().skip(1).take(2);
+        words.map(str::to_owned).collect()
+    };
+    let told: Vec<Vec<String>> = ended.out.lines().skip(1).map(cells).collect();
+    let expected = [
+        ["vm-1", "TG1201"],
+        ["vm-1", "TG1505"],
+        ["vm-1", "TG1308"],
+        ["vm-2", "TG1307"],
+        ["vm-2", "TG1605"],
+        ["vm-2", "TG1204"],
+    ];
+    assert_eq!(told, expected, "{}", ended.out);
+    let words = ["explain", "none", "--logs", words[3]];
+    assert_eq!(Some(1), ctl(&words).await.code);
+    let words = ["explain", "none", "--logs", "no-such-file"];
+    assert_eq!(Some(2), ctl(&words).await.code);
+}
--- a/tests/docs_events.rs
+++ b/tests/docs_events.rs
@@ -2,9 +2,10 @@
 
 use trefoilgauge::events::CATALOGUE;
 
-/// Returns the cells of each row of the page that describes an event.
+/// Returns the cells of each row of the page that describes an event of the catalogue; those of
+/// the users' platform have a test of their own.
 fn rows(page: &str) -> Vec<Vec<&str>> {
-    let rows = page.lines().filter(|line| line.starts_with("| TG"));
+    let rows = page.lines().filter(|line| line.starts_with("| TG0"));
     rows.map(|row| row.trim_matches('|').split('|').map(str::trim).collect())
         .collect()
 }
--- /dev/null
+++ b/tests/docs_fleet.rs
@@ -0,0 +1,105 @@
+//! `docs/EVENTS.md` and `docs/OPERATIONS.md` are held to the events and metrics of `trefoil-vm`.
+
+#![expect(clippy::unwrap_used, clippy::panic, reason = "helpers of tests")]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::path::PathBuf;
+
+const LEVELS: [&str; 3] = ["info", "warn", "error"];
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|kind| kind == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+/// Returns the program's sources.
+fn code() -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut files = Vec::new();
+    sources(&root.join("src/fleet"), &mut files);
+    sources(&root.join("platform/src"), &mut files);
+    let texts = files
+        .iter()
+        .map(|file| std::fs::read_to_string(file).unwrap());
+    texts.collect()
+}
+
+/// Returns the text of each line that is logged, by level.
+fn logged(code: &str) -> Vec<(&'static str, String)> {
+    let mut found = Vec::new();
+    for level in LEVELS {
+        for call in code.split(&format!("log::{level}!(")).skip(1) {
+            let text = call.trim_start().strip_prefix('"');
+            let text = text.unwrap_or_else(|| panic!("no text first in {call:.60}"));
+            found.push((level, text.chars().take(80).collect()));
+        }
+    }
+    // The one line that does not go through the log, since it tells what the log left out.
+    let own = code.matches("\"TG1109 ").count();
+    assert_eq!(own, 1);
+    found.push(("warn", "TG1109 ".to_owned()));
+    found
+}
+
+fn number(text: &str) -> Option<&str> {
+    let (number, _) = text.split_once(' ')?;
+    let digits = number.strip_prefix("TG")?;
+    (digits.len() == 4 && digits.bytes().all(|b| b.is_ascii_digit())).then_some(number)
+}
+
+#[test]
+fn each_line_of_the_log_has_a_number_of_its_own_and_a_row() {
+    let mut written = BTreeMap::new();
+    for (level, text) in logged(&code()) {
+        let number = number(&text).unwrap_or_else(|| panic!("{text:?} has no number"));
+        let twice = written.insert(number.to_owned(), level);
+        assert!(twice.is_none(), "{number} is used twice");
+    }
+    let page = include_str!("../docs/EVENTS.md");
+    let mut told = BTreeMap::new();
+    for row in page.lines().filter(|line| line.starts_with("| TG1")) {
+        let cells: Vec<&str> = row.trim_matches('|').split('|').map(str::trim).collect();
+        let [number, level, event, meaning, advice] = cells[..] else {
+            panic!("{row}");
+        };
+        assert!(
+            !event.is_empty() && !meaning.is_empty() && !advice.is_empty(),
+            "{row}"
+        );
+        told.insert(number.to_owned(), level);
+    }
+    assert_eq!(written, told);
+}
+
+/// Returns the words of `text` that begin with `start`.
+fn words<'a>(text: &'a str, start: &str) -> BTreeSet<&'a str> {
+    let part = |c: char| !(c.is_ascii_alphanumeric() || c == '_');
+    let found = text.split(part).filter(|word| word.starts_with(start));
+    found.collect()
+}
+
+#[test]
+fn operators_are_told_every_metric_and_no_other() {
+    let code = include_str!("../src/fleet/gauge.rs");
+    let page = include_str!("../docs/OPERATIONS.md");
+    assert_eq!(words(code, "fleet_"), words(page, "fleet_"));
+}
+
+#[test]
+fn the_guide_names_only_events_that_exist() {
+    let page = include_str!("../docs/OPERATIONS.md");
+    let events = include_str!("../docs/EVENTS.md");
+    let known = words(events, "TG");
+    let named = words(page, "TG");
+    assert!(named.iter().any(|number| number.starts_with("TG1")));
+    let unknown: Vec<_> = named.difference(&known).collect();
+    assert!(unknown.is_empty(), "{unknown:?}");
+}
