feat(fleet): log what was predicted of each job that comes

TG1201 and TG1202 tell the backlog, the chain and the objective by which a job was accepted or refused, so that predictions can be set against what was seen.

--- a/src/fleet/admit.rs
+++ b/src/fleet/admit.rs
@@ -12,6 +12,8 @@
 use super::scheduler::Scheduler;
 use super::task::Job;
 use crate::prelude::*;
+use std::fmt::Display;
+use std::fmt::Formatter;
 
 /// How many objectives a job may take before it is of no use.
 const USELESS_OBJECTIVES: u64 = 3;
@@ -22,6 +24,27 @@
 /// `Retry-After` for a job that is larger than all upstreams, in milliseconds.
 const NEVER_WAIT_MS: u64 = 30_000;
 
+/// What is predicted of a job when it comes, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Outlook {
+    /// How long the fleet works on what goes before it.
+    pub(super) wait_ms: u64,
+    /// How long its longest chain of steps works.
+    pub(super) chain_ms: u64,
+    /// Up to when after its arrival it is in time.
+    pub(super) objective_ms: u64,
+}
+
+impl Display for Outlook {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "backlog_ms={} chain_ms={} objective_ms={}",
+            self.wait_ms, self.chain_ms, self.objective_ms
+        )
+    }
+}
+
 /// Why a job is not accepted, and when to come back.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Refusal {
@@ -29,6 +52,8 @@
     pub(super) wait_ms: u64,
     /// The reason.
     pub(super) why: &'static str,
+    /// What was predicted.
+    pub(super) outlook: Outlook,
 }
 
 /// What the upstreams of a service have.
@@ -40,29 +65,41 @@
 
 impl Scheduler {
     /// Decides whether a job is refused.
-    pub(super) fn admit(&self, queue: &Arc<Queue>, spec: &Spec) -> Option<Refusal> {
+    ///
+    /// # Errors
+    ///
+    /// The refusal.
+    pub(super) fn admit(&self, queue: &Arc<Queue>, spec: &Spec) -> Result<Outlook, Refusal> {
         let fleet = self.fleet(&queue.service);
+        let chain_ms = plan::chain_of(&self.durations, &queue.name, spec);
+        let outlook = Outlook {
+            wait_ms: self.backlog_ms(queue, &fleet),
+            chain_ms,
+            objective_ms: plan::objective_ms(queue, chain_ms),
+        };
         if fleet.sum == Need::default() {
             // Discovery has not been read yet, or all upstreams are lost for now.
-            return None;
+            return Ok(outlook);
         }
         if spec.steps.iter().any(|step| !ever_fits(step, &fleet)) {
-            return Some(Refusal {
+            return Err(Refusal {
                 wait_ms: NEVER_WAIT_MS,
                 why: "no upstream has what a task needs, or all together less than a gang needs",
+                outlook,
             });
         }
         if queue.priority == 0 || spec.times > 0 {
-            return None;
+            return Ok(outlook);
+        }
+        let useless = outlook.objective_ms.saturating_mul(USELESS_OBJECTIVES);
+        match (outlook.wait_ms + outlook.chain_ms).checked_sub(useless) {
+            None => Ok(outlook),
+            Some(over) => Err(Refusal {
+                wait_ms: over.clamp(MIN_WAIT_MS, MAX_WAIT_MS),
+                why: "the work before it takes longer than three times its objective",
+                outlook,
+            }),
         }
-        let chain = plan::chain_of(&self.durations, &queue.name, spec);
-        let objective = plan::objective_ms(queue, chain);
-        let wait = self.backlog_ms(queue, &fleet);
-        let over = (wait + chain).checked_sub(objective * USELESS_OBJECTIVES)?;
-        Some(Refusal {
-            wait_ms: over.clamp(MIN_WAIT_MS, MAX_WAIT_MS),
-            why: "the work before it takes longer than three times its objective",
-        })
     }
 
     fn fleet(&self, service: &str) -> Fleet {
--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -1,5 +1,6 @@
 //! Answers callers: submissions, states, cancellations, what waits.
 
+use super::admit::Refusal;
 use super::event::Ask;
 use super::event::Call;
 use super::event::Phase;
@@ -104,21 +105,23 @@
                 why: "the queue needs advice, which is not supported",
             };
         }
-        if let Some(refusal) = self.admit(queue, &spec) {
-            log::info!(
-                "TG1202 job={id} queue={} refused why={:?} wait_ms={}",
-                queue.name,
-                refusal.why,
-                refusal.wait_ms
-            );
-            return Reply::Refused {
-                wait_ms: refusal.wait_ms,
-                why: refusal.why,
-            };
-        }
+        let outlook = match self.admit(queue, &spec) {
+            Ok(outlook) => outlook,
+            Err(Refusal {
+                wait_ms,
+                why,
+                outlook,
+            }) => {
+                log::info!(
+                    "TG1202 job={id} queue={} refused why={why:?} wait_ms={wait_ms} {outlook}",
+                    queue.name
+                );
+                return Reply::Refused { wait_ms, why };
+            }
+        };
         let wall_ms = self.wall_ms(now);
         log::info!(
-            "TG1201 job={id} queue={} workspace={workspace} accepted config={}",
+            "TG1201 job={id} queue={} workspace={workspace} accepted config={} {outlook}",
             queue.name,
             self.config.as_ref().map_or(0, |config| config.version)
         );
