feat(fleet): ask for advice where a queue needs it

Cause: jobs of queues with advice were all refused.

Change: advice.rs asks for the most urgent step that found no place, one question at a time, about no more upstreams than it is likely to need, and keeps verdicts and tickets; the planner uses only spots with a valid ticket, and orders carry it. A ticket that an upstream does not take is dropped and asked for anew. What waits, and in which order, moved from plan.rs to waiting.rs. Without the service in the settings such jobs are refused as before.

Ruled out: asking for new tickets while no upstream has room; the service was asked each 2.7 s in vain (seen in a test).

With all spots allowed, with expired tickets in use or with racks in any order at least one fails.

--- a/src/fleet/admit.rs
+++ b/src/fleet/admit.rs
@@ -8,9 +8,9 @@
 use super::model::Queue;
 use super::model::Spec;
 use super::model::Step;
-use super::plan;
 use super::scheduler::Scheduler;
 use super::task::Job;
+use super::waiting;
 use crate::prelude::*;
 use std::fmt::Display;
 use std::fmt::Formatter;
@@ -71,11 +71,11 @@
     /// The refusal.
     pub(super) fn admit(&self, queue: &Arc<Queue>, spec: &Spec) -> Result<Outlook, Refusal> {
         let fleet = self.fleet(&queue.service);
-        let chain_ms = plan::chain_of(&self.durations, &queue.name, spec);
+        let chain_ms = waiting::chain_ms(&self.durations, queue, spec);
         let outlook = Outlook {
             wait_ms: self.backlog_ms(queue, &fleet),
             chain_ms,
-            objective_ms: plan::objective_ms(queue, chain_ms),
+            objective_ms: waiting::objective_ms(queue, chain_ms),
         };
         if fleet.sum == Need::default() {
             // Discovery has not been read yet, or all upstreams are lost for now.
--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -99,10 +99,10 @@
         if let Some(why) = spec.fault() {
             return Reply::Bad(why.to_owned());
         }
-        if queue.advised {
+        if queue.advice.is_some() && !self.timing.advice {
             return Reply::Refused {
                 wait_ms: CANNOT_WAIT_MS,
-                why: "the queue needs advice, which is not supported",
+                why: "the queue needs advice, and the settings name no service for it",
             };
         }
         let outlook = match self.admit(queue, &spec) {
--- a/src/fleet/effect.rs
+++ b/src/fleet/effect.rs
@@ -2,6 +2,7 @@
 
 use super::event::Reply;
 use super::model::RunId;
+use super::model::StepId;
 use super::row::Row;
 use crate::prelude::*;
 
@@ -29,6 +30,8 @@
         until_ms: u64,
         /// What to resume from, empty for the beginning.
         saved: String,
+        /// The ticket of a step that needs advice, else empty.
+        ticket: Arc<str>,
     },
     /// Order an upstream to stop a run.
     Stop {
@@ -77,6 +80,15 @@
         /// The job.
         job: Name,
     },
+    /// Ask which upstreams may run a step.
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The upstreams in question.
+        upstreams: Vec<Name>,
+        /// How long the answer is expected to take, in milliseconds.
+        call_ms: u64,
+    },
     /// List all machines.
     ListMachines,
     /// Order the platform to take a machine down for maintenance.
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -6,6 +6,7 @@
 use super::model::Machine;
 use super::model::RunId;
 use super::model::Spec;
+use super::model::StepId;
 use super::model::Wave;
 use crate::prelude::*;
 
@@ -98,6 +99,8 @@
     Late,
     /// There is no room.
     Full,
+    /// The order carries no ticket that is valid there.
+    Unadvised,
     /// The upstream is unwell and did nothing.
     Unwell,
     /// Another process answers at the address.
@@ -138,6 +141,15 @@
     Silent,
 }
 
+/// Which upstreams may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Advised {
+    /// Those that may, each with the ticket for its orders.
+    pub good: Vec<(Name, Arc<str>)>,
+    /// How long the tickets are valid, in milliseconds.
+    pub valid_ms: u64,
+}
+
 /// A run that an upstream has at work.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AtWork {
@@ -265,6 +277,15 @@
     },
     /// The store has a job as closed.
     Sealed(Name),
+    /// A question about upstreams was answered or given up.
+    Advised {
+        /// The step.
+        step: StepId,
+        /// The upstreams in question.
+        asked: Vec<Name>,
+        /// The answer; none if there was no response.
+        answer: Option<Advised>,
+    },
     /// The operators order maintenance.
     Wave(Wave),
     /// All machines, or none if the platform did not say.
--- a/src/fleet/gauge.rs
+++ b/src/fleet/gauge.rs
@@ -94,6 +94,7 @@
         Started::Barred => "barred",
         Started::Late => "late",
         Started::Full => "full",
+        Started::Unadvised => "unadvised",
         Started::Unwell => "unwell",
         Started::OtherLife => "other_life",
         Started::Rejected => "rejected",
--- a/src/fleet/host/hands.rs
+++ b/src/fleet/host/hands.rs
@@ -6,6 +6,8 @@
 use crate::fleet::Event;
 use crate::fleet::gauge;
 use crate::fleet::model::RunId;
+use crate::fleet::model::StepId;
+use crate::fleet::ports::Advisor;
 use crate::fleet::ports::HoldOrder;
 use crate::fleet::ports::Machines;
 use crate::fleet::ports::StartOrder;
@@ -21,6 +23,7 @@
 pub(super) struct Hands {
     store: Arc<dyn Store>,
     upstreams: Arc<dyn Upstreams>,
+    advisor: Option<Arc<dyn Advisor>>,
     machines: Option<Arc<dyn Machines>>,
     tx: mpsc::Sender<Input>,
     token: u64,
@@ -32,6 +35,7 @@
         Self {
             store: parts.store.clone(),
             upstreams: parts.upstreams.clone(),
+            advisor: parts.advisor.clone(),
             machines: parts.machines.clone(),
             tx,
             token,
@@ -48,12 +52,14 @@
                 text,
                 until_ms,
                 saved,
+                ticket,
             } => {
                 let order = StartOrder {
                     run,
                     text,
                     until_ms,
                     saved,
+                    ticket,
                 };
                 self.start(at, addr, order);
             }
@@ -79,6 +85,11 @@
                 };
                 self.hold(at, addr, mark, order);
             }
+            Effect::Advise {
+                step,
+                upstreams,
+                call_ms,
+            } => self.ask(step, upstreams, call_ms),
             Effect::ListMachines => self.list_machines(),
             Effect::TakeDown { machine, wave } => self.take_down(machine, wave),
             Effect::Announce { wave, completed } => self.announce(wave, completed),
@@ -161,6 +172,20 @@
         });
     }
 
+    fn ask(&self, step: StepId, asked: Vec<Name>, call_ms: u64) {
+        let Some(advisor) = self.advisor.clone() else {
+            return;
+        };
+        self.spawn(async move {
+            let answer = advisor.ask(step.clone(), asked.clone(), call_ms).await;
+            Event::Advised {
+                step,
+                asked,
+                answer,
+            }
+        });
+    }
+
     fn list_machines(&self) {
         let Some(machines) = self.machines.clone() else {
             log::error!(
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -10,6 +10,7 @@
 
 use super::event::Call;
 use super::event::Reply;
+use super::ports::Advisor;
 use super::ports::Machines;
 use super::ports::Store;
 use super::ports::Upstreams;
@@ -41,6 +42,8 @@
     pub store: Arc<dyn Store>,
     /// The upstreams.
     pub upstreams: Arc<dyn Upstreams>,
+    /// The service that tells which upstreams may run a step, if there is one.
+    pub advisor: Option<Arc<dyn Advisor>>,
     /// The machines of the upstreams, if the platform manages them.
     pub machines: Option<Arc<dyn Machines>>,
     /// The bounds of the deployment.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! returns rows to store and effects to carry out.
 
 mod admit;
+mod advice;
 mod board;
 mod callers;
 pub mod clock;
@@ -33,6 +34,7 @@
 mod upkeep;
 mod upstream;
 mod victims;
+mod waiting;
 
 pub use effect::Effect;
 pub use effect::Output;
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -174,8 +174,35 @@
     pub aim_ms: u64,
     /// Whether calls need no key.
     pub public: bool,
-    /// Whether an outside service must allow each upstream of a step.
-    pub advised: bool,
+    /// How an outside service is asked which upstreams may run a step, if it must be.
+    pub advice: Option<Advice>,
+}
+
+/// How an outside service answers which upstreams may run a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Advice {
+    /// The time for each call, in milliseconds.
+    pub decide_ms: u64,
+    /// The time for each upstream that a call names, in milliseconds.
+    pub each_ms: u64,
+}
+
+impl Advice {
+    /// Returns how long a call about `count` upstreams takes, in milliseconds.
+    pub fn call_ms(&self, count: u64) -> u64 {
+        self.decide_ms + self.each_ms * count
+    }
+}
+
+/// A step of one occurrence of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StepId {
+    /// The job.
+    pub job: Name,
+    /// The occurrence, from 0.
+    pub turn: u32,
+    /// The step, from 0.
+    pub step: u32,
 }
 
 /// A workspace of the configuration.
@@ -226,6 +253,17 @@
     pub index: u32,
 }
 
+impl TaskId {
+    /// Names its step.
+    pub fn step_id(&self) -> StepId {
+        StepId {
+            job: self.job.clone(),
+            turn: self.turn,
+            step: self.step,
+        }
+    }
+}
+
 /// One run of a task.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RunId {
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -55,6 +55,8 @@
     pub(super) shuns: &'a [Name],
     /// Spots that are left to other work.
     pub(super) barred: Option<&'a HashSet<usize>>,
+    /// Spots that may be used at all, if only some may.
+    pub(super) only: Option<&'a HashSet<usize>>,
 }
 
 impl Wish<'_> {
@@ -73,6 +75,7 @@
 
     fn takes(&self, index: usize, spot: &Spot) -> bool {
         self.barred.is_none_or(|barred| !barred.contains(&index))
+            && self.only.is_none_or(|only| only.contains(&index))
             && spot.allows(self.service, self.step)
             && self.near(spot)
             && !self.shuns.contains(&spot.name)
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -7,11 +7,6 @@
 use super::board::Board;
 use super::board::Shape;
 use super::gauge;
-use super::learn::Durations;
-use super::model::Config;
-use super::model::Queue;
-use super::model::Spec;
-use super::model::Step;
 use super::place;
 use super::place::Wish;
 use super::scheduler::Scheduler;
@@ -20,9 +15,8 @@
 use super::task::Live;
 use super::task::Place;
 use super::task::Stage;
+use super::waiting::Waiting;
 use crate::prelude::*;
-use std::collections::HashMap;
-use std::collections::HashSet;
 
 /// How long freed room is kept for the gang that it was freed for, beyond the stop, in
 /// milliseconds: the end of a stop is listed and stored within this.
@@ -36,25 +30,6 @@
 /// The part of the accelerators that is left to urgent work, in percent: a burst of it would
 /// otherwise stop as much other work as it takes.
 pub(super) const URGENT_PERCENT: u64 = 12;
-/// Late work goes after all that can be in time; the offset of its rank.
-const LATE_RANK: u32 = 1_000;
-
-/// Tasks of one step that wait.
-#[derive(Debug)]
-pub(super) struct Waiting {
-    pub(super) rank: (u32, u64),
-    pub(super) job: Name,
-    pub(super) turn: u32,
-    pub(super) step: u32,
-    /// Waiting tasks; all of them if it is a gang.
-    pub(super) tasks: Vec<u32>,
-    pub(super) queue: Arc<Queue>,
-    pub(super) since: u64,
-    pub(super) predicted: u64,
-    /// Whether it is urgent work within its workspace's guarantee.
-    pub(super) entitled: bool,
-}
-
 impl Scheduler {
     /// Places what waits; returns how many steps waited.
     pub(super) fn plan(&mut self, now: u64) -> u64 {
@@ -73,98 +48,6 @@
         waiting.len() as u64
     }
 
-    /// Returns the urgent jobs that lie within the guarantees of their workspaces, oldest first.
-    pub(super) fn entitled(&self, config: &Config) -> HashSet<Name> {
-        let mut urgent: Vec<&Job> = self
-            .open
-            .iter()
-            .filter_map(|id| self.jobs.get(id))
-            .filter(|job| {
-                config
-                    .queue(&job.queue)
-                    .is_some_and(|queue| queue.priority == 0)
-            })
-            .collect();
-        urgent.sort_by_key(|job| job.arrived);
-        let guarantees: HashMap<&Name, u64> = config
-            .keys
-            .values()
-            .map(|workspace| (&workspace.name, workspace.guaranteed))
-            .collect();
-        let mut taken: HashMap<&Name, u64> = HashMap::new();
-        let mut found = HashSet::new();
-        for job in urgent {
-            let taken = taken.entry(&job.workspace).or_default();
-            *taken += accelerators(&job.spec);
-            if *taken <= guarantees.get(&job.workspace).copied().unwrap_or(0) {
-                found.insert(job.id.clone());
-            }
-        }
-        found
-    }
-
-    fn waiting_steps(&mut self, now: u64, config: &Config) -> Vec<Waiting> {
-        let entitled = self.entitled(config);
-        let mut found = Vec::new();
-        let mut idle = Vec::new();
-        for id in &self.pending {
-            let Some(job) = self.jobs.get_mut(id) else {
-                idle.push(id.clone());
-                continue;
-            };
-            let Some(queue) = config.queue(&job.queue) else {
-                continue;
-            };
-            let before = found.len();
-            let chain = chain_ms(&self.durations, job);
-            let spec = job.spec.clone();
-            for (&turn_number, turn) in &mut job.turns {
-                let readies: Vec<bool> =
-                    spec.steps.iter().map(|step| turn.is_ready(step)).collect();
-                let objective = turn.due + objective_ms(queue, chain);
-                for (number, step) in (0..).zip(&spec.steps) {
-                    let at = number as usize;
-                    let stretch = &mut turn.steps[at];
-                    if stretch.left == 0 || !readies[at] {
-                        continue;
-                    }
-                    let since = *stretch.ready.get_or_insert(now);
-                    let tasks = waiting_tasks(step, &stretch.tasks);
-                    if tasks.is_empty() {
-                        continue;
-                    }
-                    let predicted = self.durations.predict(&job.queue, step);
-                    let late = now + predicted > objective;
-                    let entitled = queue.priority == 0 && entitled.contains(id);
-                    let rank = match (queue.priority, late) {
-                        (0, _) if entitled => 0,
-                        (priority, false) => priority + 1,
-                        (0, true) => 1,
-                        (priority, true) => LATE_RANK + priority,
-                    };
-                    found.push(Waiting {
-                        rank: (rank, objective),
-                        job: id.clone(),
-                        turn: turn_number,
-                        step: number,
-                        tasks,
-                        queue: queue.clone(),
-                        since,
-                        predicted,
-                        entitled,
-                    });
-                }
-            }
-            if found.len() == before {
-                idle.push(id.clone());
-            }
-        }
-        for id in idle {
-            self.pending.remove(&id);
-        }
-        found
-    }
-
     fn place_step(&mut self, now: u64, board: &mut Board, wait: &Waiting) {
         let Some(job) = self.jobs.get(&wait.job) else {
             return;
@@ -178,6 +61,7 @@
             far: false,
             shuns: &[],
             barred: None,
+            only: None,
         };
         let patience = if board.busy_share < IDLE_SHARE {
             FAR_IDLE_MS
@@ -191,20 +75,18 @@
                 || !place::ever_near(&board.spots, &board.racks, &wish, step.count));
         let shared = wait.queue.priority > 0 && board.busy_share >= IDLE_SHARE && waited < patience;
         let left = shared.then(|| board.urgent_only.clone());
+        let allowed = self.allowed(now, board, wait);
         let wish = Wish {
             far,
             barred: left.as_ref(),
+            only: allowed.as_ref(),
             ..wish
         };
         let shape = shape(wait, &wish);
         let count = if step.gang { step.count } else { 1 };
         let kept = self.kept(now, wait).is_some();
-        if !kept
-            && board
-                .failed
-                .get(&shape)
-                .is_some_and(|least| *least <= count)
-        {
+        let tried = board.failed.get(&shape);
+        if !kept && allowed.is_none() && tried.is_some_and(|least| *least <= count) {
             return;
         }
         let placed = if step.gang {
@@ -212,7 +94,9 @@
         } else {
             self.place_singles(now, board, wait, &wish)
         };
-        if !placed && !kept {
+        if !placed && allowed.is_some() {
+            self.ask(now, board, wait, &step);
+        } else if !placed && !kept {
             let least = board.failed.entry(shape).or_insert(count);
             *least = count.min(*least);
         }
@@ -441,27 +325,6 @@
     }
 }
 
-/// Returns the accelerators that a job needs at the same time, at the most.
-fn accelerators(spec: &Spec) -> u64 {
-    let each = spec.steps.iter();
-    each.map(|step| step.accelerators * u64::from(step.count))
-        .max()
-        .unwrap_or(0)
-}
-
-/// Returns the tasks of a step that wait: all of a gang, or those without a run.
-fn waiting_tasks(step: &Step, tasks: &[super::task::Task]) -> Vec<u32> {
-    let waits = |task: &super::task::Task| !task.done && task.live.is_none();
-    if step.gang && !tasks.iter().all(waits) {
-        return Vec::new();
-    }
-    let tasks = (0..).zip(tasks);
-    tasks
-        .filter(|(_, task)| waits(task))
-        .map(|(index, _)| index)
-        .collect()
-}
-
 /// Counts the runs of a step on an upstream.
 fn load_of(job: &Job, wait: &Waiting, name: &Name) -> u32 {
     let Some(step) = job
@@ -474,25 +337,3 @@
     let here = |task: &&super::task::Task| task.live.as_ref().is_some_and(|l| l.at == *name);
     u32::try_from(step.tasks.iter().filter(here).count()).unwrap_or(u32::MAX)
 }
-
-/// Predicts the longest chain of a job's steps, in milliseconds.
-fn chain_ms(durations: &Durations, job: &Job) -> u64 {
-    chain_of(durations, &job.queue, &job.spec)
-}
-
-/// Predicts the longest chain of the steps of a job of `queue`, in milliseconds.
-pub(super) fn chain_of(durations: &Durations, queue: &Name, spec: &Spec) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for step in &spec.steps {
-        let before = step.after.iter().filter_map(|&at| ends.get(at as usize));
-        let start = before.max().copied().unwrap_or(0);
-        ends.push(start + durations.predict(queue, step));
-    }
-    ends.into_iter().max().unwrap_or(0)
-}
-
-/// Returns how long after it is due a job of `queue` is in time, in milliseconds.
-pub(super) fn objective_ms(queue: &Queue, chain_ms: u64) -> u64 {
-    let chain = std::time::Duration::from_millis(chain_ms).mul_f64(queue.stretch.clamp(0.0, 1e3));
-    u64::try_from(chain.as_millis()).unwrap_or(u64::MAX) + queue.aim_ms
-}
--- a/src/fleet/ports.rs
+++ b/src/fleet/ports.rs
@@ -1,5 +1,6 @@
 //! What the scheduler's host needs of the outside: a store and the upstreams.
 
+use super::event::Advised;
 use super::event::Downed;
 use super::event::Event;
 use super::event::Held;
@@ -10,6 +11,7 @@
 use super::model::Listing;
 use super::model::Machine;
 use super::model::RunId;
+use super::model::StepId;
 use super::model::Wave;
 use super::row::Row;
 use crate::prelude::*;
@@ -182,6 +184,8 @@
     pub until_ms: u64,
     /// What to resume from, empty for the beginning.
     pub saved: String,
+    /// The ticket of a step that needs advice, else empty.
+    pub ticket: Arc<str>,
 }
 
 /// An order to renew leases and report.
@@ -195,6 +199,12 @@
     pub wait_ms: u64,
 }
 
+/// The service that knows which upstreams may run a step.
+pub trait Advisor: Send + Sync + Debug {
+    /// Asks about upstreams, which is expected to take `call_ms`; none without a response.
+    fn ask(&self, step: StepId, upstreams: Vec<Name>, call_ms: u64) -> Wait<'_, Option<Advised>>;
+}
+
 /// The machines of the upstreams.
 pub trait Machines: Send + Sync + Debug {
     /// Lists all machines; none if the platform did not answer.
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -7,13 +7,13 @@
 use super::model::Need;
 use super::place::Wish;
 use super::plan::KEEP_MS;
-use super::plan::Waiting;
 use super::scheduler::Scheduler;
 use super::task::Job;
 use super::task::Place;
 use super::task::Stage;
 use super::victims::Victim;
 use super::victims::Victims;
+use super::waiting::Waiting;
 use crate::prelude::*;
 use std::collections::HashMap;
 
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -76,6 +76,13 @@
             Started::Silent if tries < START_TRIES => self.send_start(now, at, run),
             Started::Silent | Started::Barred => self.stop_gang(now, run),
             Started::OtherLife => self.life_ended(now, at),
+            Started::Unadvised => {
+                self.advice.spoil(&run.task.step_id(), at);
+                if first {
+                    self.settle(now, run, None);
+                }
+                self.stop_gang(now, run);
+            }
             _ => {
                 let quiet = if answer == Started::Full {
                     DECLINED_MS
@@ -127,6 +134,7 @@
             text,
             until_ms,
             saved,
+            ticket: self.advice.ticket(&run.task.step_id(), at),
         });
     }
 
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -1,5 +1,6 @@
 //! The reducer: its state, and the one function that every event goes through.
 
+use super::advice::Counsel;
 use super::effect::Effect;
 use super::effect::Output;
 use super::event::Event;
@@ -57,6 +58,8 @@
     closed: BTreeSet<(u64, Name)>,
     /// Jobs with occurrences to come.
     timed: BTreeSet<Name>,
+    /// What is known of which upstreams may run a step.
+    pub(super) advice: Counsel,
     /// Maintenance.
     pub(super) upkeep: Upkeep,
     /// Whether something changed that may let a task start.
@@ -106,6 +109,7 @@
             pending: BTreeSet::new(),
             closed: BTreeSet::new(),
             timed: BTreeSet::new(),
+            advice: Counsel::default(),
             upkeep: Upkeep::default(),
             changed: true,
             mark: 0,
@@ -215,6 +219,11 @@
                     self.touched.insert(at);
                 }
             }
+            Event::Advised {
+                step,
+                asked,
+                answer,
+            } => self.advised(now, &step, &asked, answer),
             Event::Wave(wave) => self.wave(now, wave),
             Event::Machines(list) => self.machines(list),
             Event::Downed {
@@ -411,6 +420,7 @@
             now.saturating_sub(job.arrived)
         );
         job.closed = Some((phase, now));
+        self.advice.forget(id);
         let live = job.live();
         self.closed.insert((now, id.clone()));
         self.out.gated.push(Effect::Sealed { job: id.clone() });
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -33,6 +33,8 @@
     pub store: Name,
     /// The address of the platform's machines, if it has any.
     pub machines: Option<Name>,
+    /// The address of the service that tells which upstreams may run a step, if there is one.
+    pub advice: Option<Name>,
     /// The time from the order to stop until the process is ended by force, in milliseconds.
     pub grace_ms: u64,
     /// The age of the configuration from which on calls with a key are refused, in milliseconds;
@@ -84,11 +86,8 @@
         store: address(&mut fields, "store", &mut findings)
             .to_string()
             .into(),
-        machines: fields
-            .raw("machines")
-            .is_some()
-            .then(|| address(&mut fields, "machines", &mut findings))
-            .map(|addr| addr.to_string().into()),
+        machines: service(&mut fields, "machines", &mut findings),
+        advice: service(&mut fields, "advice", &mut findings),
         grace_ms: thousandths(&mut fields, "grace_s", 6_000, &mut findings),
         // The rest of the bound is for the way of a revocation and for calls under way.
         config_age_ms: if strict { revoke_ms * 3 / 5 } else { 0 },
@@ -99,6 +98,7 @@
             keep_ms: thousandths(&mut fields, "keep_s", 120_000, &mut findings),
             restore_ms: fields.number_or("restore_ms", 600, 0..=MAX_MS, &mut findings),
             upkeep_ms: thousandths(&mut fields, "upkeep_s", 2_000, &mut findings),
+            advice: fields.raw("advice").is_some(),
             reclaim_ms: fields.number_or("reclaim_ms", 2_700, 0..=MAX_MS, &mut findings),
         },
     };
@@ -118,6 +118,12 @@
     given.then(|| address(fields, "metrics", findings))
 }
 
+/// Reads the address of a service that a deployment may lack.
+fn service(fields: &mut Fields<'_>, key: &'static str, findings: &mut Findings) -> Option<Name> {
+    let given = fields.raw(key).is_some();
+    given.then(|| address(fields, key, findings).to_string().into())
+}
+
 fn address(fields: &mut Fields<'_>, key: &'static str, findings: &mut Findings) -> SocketAddr {
     let text = fields.text(key, findings);
     text.parse().unwrap_or_else(|_| {
--- a/src/fleet/timing.rs
+++ b/src/fleet/timing.rs
@@ -13,6 +13,8 @@
     pub restore_ms: u64,
     /// How long a machine is down for its maintenance.
     pub upkeep_ms: u64,
+    /// Whether there is a service that tells which upstreams may run a step.
+    pub advice: bool,
     /// How long after its acknowledgement guaranteed work must have begun.
     pub reclaim_ms: u64,
 }
--- /dev/null
+++ b/src/fleet/waiting.rs
@@ -0,0 +1,173 @@
+//! Finds which tasks wait, and in which order they are placed.
+//!
+//! The load it answers: more work than there is room for. Guaranteed urgent work goes first, then
+//! what can still be in time by priority, then what is late, so that nobody waits behind work that
+//! has lost its use already.
+
+use super::learn::Durations;
+use super::model::Config;
+use super::model::Queue;
+use super::model::Spec;
+use super::model::Step;
+use super::scheduler::Scheduler;
+use super::task::Job;
+use crate::prelude::*;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+/// Late work goes after all that can be in time; the offset of its rank.
+const LATE_RANK: u32 = 1_000;
+/// Upstreams about which a step with advice asks before it starts; objectives allow for as many.
+const USUAL_CANDIDATES: u64 = 30;
+
+/// Tasks of one step that wait.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    pub(super) rank: (u32, u64),
+    pub(super) job: Name,
+    pub(super) turn: u32,
+    pub(super) step: u32,
+    /// Waiting tasks; all of them if it is a gang.
+    pub(super) tasks: Vec<u32>,
+    pub(super) queue: Arc<Queue>,
+    pub(super) since: u64,
+    pub(super) predicted: u64,
+    /// Whether it is urgent work within its workspace's guarantee.
+    pub(super) entitled: bool,
+}
+
+impl Scheduler {
+    /// Returns the urgent jobs that lie within the guarantees of their workspaces, oldest first.
+    pub(super) fn entitled(&self, config: &Config) -> HashSet<Name> {
+        let mut urgent: Vec<&Job> = self
+            .open
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter(|job| {
+                config
+                    .queue(&job.queue)
+                    .is_some_and(|queue| queue.priority == 0)
+            })
+            .collect();
+        urgent.sort_by_key(|job| job.arrived);
+        let guarantees: HashMap<&Name, u64> = config
+            .keys
+            .values()
+            .map(|workspace| (&workspace.name, workspace.guaranteed))
+            .collect();
+        let mut taken: HashMap<&Name, u64> = HashMap::new();
+        let mut found = HashSet::new();
+        for job in urgent {
+            let taken = taken.entry(&job.workspace).or_default();
+            *taken += accelerators(&job.spec);
+            if *taken <= guarantees.get(&job.workspace).copied().unwrap_or(0) {
+                found.insert(job.id.clone());
+            }
+        }
+        found
+    }
+
+    /// Lists the steps with tasks that wait for a place.
+    pub(super) fn waiting_steps(&mut self, now: u64, config: &Config) -> Vec<Waiting> {
+        let entitled = self.entitled(config);
+        let mut found = Vec::new();
+        let mut idle = Vec::new();
+        for id in &self.pending {
+            let Some(job) = self.jobs.get_mut(id) else {
+                idle.push(id.clone());
+                continue;
+            };
+            let Some(queue) = config.queue(&job.queue) else {
+                continue;
+            };
+            let before = found.len();
+            let chain = chain_ms(&self.durations, queue, &job.spec);
+            let spec = job.spec.clone();
+            for (&turn_number, turn) in &mut job.turns {
+                let readies: Vec<bool> =
+                    spec.steps.iter().map(|step| turn.is_ready(step)).collect();
+                let objective = turn.due + objective_ms(queue, chain);
+                for (number, step) in (0..).zip(&spec.steps) {
+                    let at = number as usize;
+                    let stretch = &mut turn.steps[at];
+                    if stretch.left == 0 || !readies[at] {
+                        continue;
+                    }
+                    let since = *stretch.ready.get_or_insert(now);
+                    let tasks = waiting_tasks(step, &stretch.tasks);
+                    if tasks.is_empty() {
+                        continue;
+                    }
+                    let predicted = self.durations.predict(&job.queue, step);
+                    let late = now + predicted > objective;
+                    let entitled = queue.priority == 0 && entitled.contains(id);
+                    let rank = match (queue.priority, late) {
+                        (0, _) if entitled => 0,
+                        (priority, false) => priority + 1,
+                        (0, true) => 1,
+                        (priority, true) => LATE_RANK + priority,
+                    };
+                    found.push(Waiting {
+                        rank: (rank, objective),
+                        job: id.clone(),
+                        turn: turn_number,
+                        step: number,
+                        tasks,
+                        queue: queue.clone(),
+                        since,
+                        predicted,
+                        entitled,
+                    });
+                }
+            }
+            if found.len() == before {
+                idle.push(id.clone());
+            }
+        }
+        for id in idle {
+            self.pending.remove(&id);
+        }
+        found
+    }
+}
+
+/// Returns the accelerators that a job needs at the same time, at the most.
+fn accelerators(spec: &Spec) -> u64 {
+    let each = spec.steps.iter();
+    each.map(|step| step.accelerators * u64::from(step.count))
+        .max()
+        .unwrap_or(0)
+}
+
+/// Returns the tasks of a step that wait: all of a gang, or those without a run.
+fn waiting_tasks(step: &Step, tasks: &[super::task::Task]) -> Vec<u32> {
+    let waits = |task: &super::task::Task| !task.done && task.live.is_none();
+    if step.gang && !tasks.iter().all(waits) {
+        return Vec::new();
+    }
+    let tasks = (0..).zip(tasks);
+    tasks
+        .filter(|(_, task)| waits(task))
+        .map(|(index, _)| index)
+        .collect()
+}
+
+/// Predicts the longest chain of the steps of a job of `queue`, in milliseconds.
+pub(super) fn chain_ms(durations: &Durations, queue: &Queue, spec: &Spec) -> u64 {
+    let advice_ms = queue
+        .advice
+        .map_or(0, |advice| advice.call_ms(USUAL_CANDIDATES));
+    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for step in &spec.steps {
+        let before = step.after.iter().filter_map(|&at| ends.get(at as usize));
+        let start = before.max().copied().unwrap_or(0);
+        ends.push(start + advice_ms + durations.predict(&queue.name, step));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
+
+/// Returns how long after it is due a job of `queue` is in time, in milliseconds.
+pub(super) fn objective_ms(queue: &Queue, chain_ms: u64) -> u64 {
+    let chain = std::time::Duration::from_millis(chain_ms).mul_f64(queue.stretch.clamp(0.0, 1e3));
+    u64::try_from(chain.as_millis()).unwrap_or(u64::MAX) + queue.aim_ms
+}
--- /dev/null
+++ b/tests/fleet/advice.rs
@@ -0,0 +1,133 @@
+//! Steps of queues that need advice run only where it allows them.
+
+use super::world::World;
+use super::world::gang;
+use super::world::step;
+use trefoilgauge::fleet::event::Ask;
+use trefoilgauge::fleet::event::Phase;
+use trefoilgauge::fleet::event::Reply;
+use trefoilgauge::fleet::model::Step;
+
+/// Makes a world in which every third upstream is allowed.
+fn world(racks: u32, each: u32) -> World {
+    let mut world = World::new(racks, each);
+    let names: Vec<_> = world.upstreams.keys().cloned().collect();
+    world.advisor.good = names.into_iter().step_by(3).collect();
+    world
+}
+
+#[test]
+fn a_step_starts_only_where_it_is_allowed_to() {
+    let mut world = world(3, 4);
+    let reply = world.submit("guarded", "key-a", 1, vec![step(6, 4, 1_000)]);
+    assert_eq!(reply, Some(Reply::Accepted));
+    world.pass(4_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+    assert_eq!(world.unadvised, 0);
+    assert_eq!(world.begun.len(), 6);
+    for begun in &world.begun {
+        assert!(world.advisor.good.contains(&begun.at), "{}", begun.at);
+    }
+}
+
+#[test]
+fn a_gang_finds_a_rack_with_enough_upstreams_that_are_allowed() {
+    let mut world = World::new(3, 4);
+    // One upstream of the first two racks, and three of the last.
+    for name in ["u-0-0", "u-1-3", "u-2-0", "u-2-2", "u-2-3"] {
+        world.advisor.good.insert(name.into());
+    }
+    world.submit("guarded", "key-a", 1, vec![gang(3, 8, 1_000)]);
+    world.pass(4_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+    assert!(world.begun.iter().all(|begun| begun.at.starts_with("u-2")));
+}
+
+#[test]
+fn tickets_that_are_too_old_are_asked_for_again() {
+    let mut world = World::new(1, 1);
+    world.advisor.good = world.upstreams.keys().cloned().collect();
+    // The first task takes the only upstream longer than the ticket of the second is valid.
+    world.work_ms.insert(format!("{:016x}", 1), 5_000);
+    world.submit("guarded", "key-a", 1, vec![step(2, 8, 5_000)]);
+    world.pass(11_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+    assert_eq!(world.unadvised, 0);
+    assert!(world.advisor.asked.len() >= 2);
+}
+
+#[test]
+fn no_more_is_asked_than_is_likely_to_be_needed() {
+    let mut world = World::new(8, 8);
+    world.advisor.good = world.upstreams.keys().cloned().collect();
+    world.submit("guarded", "key-a", 1, vec![step(1, 1, 1_000)]);
+    world.pass(2_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+    assert_eq!(world.advisor.asked.len(), 1);
+    assert_eq!(world.advisor.asked[0].len(), 4);
+}
+
+#[test]
+fn a_gang_asks_about_the_freest_rack_first() {
+    let mut world = World::new(3, 4);
+    world.advisor.good = world.upstreams.keys().cloned().collect();
+    for (id, rack) in [(1, 1), (2, 2)] {
+        world.work_ms.insert(format!("{id:016x}"), 20_000);
+        let near = Step {
+            data_rack: format!("r1-{rack}"),
+            ..step(16, 1, 100)
+        };
+        world.submit("urgent", "key-a", id, vec![near]);
+    }
+    world.submit("guarded", "key-a", 3, vec![gang(2, 8, 1_000)]);
+    world.pass(1_000);
+    let first = &world.advisor.asked[0][..4];
+    assert!(
+        first.iter().all(|name| name.starts_with("u-0")),
+        "{first:?}"
+    );
+    assert_eq!(world.at_work(3).len(), 2);
+}
+
+#[test]
+fn a_service_that_does_not_answer_is_asked_again_and_holds_up_no_other_queue() {
+    let mut world = world(1, 4);
+    world.advisor.silent = true;
+    world.submit("guarded", "key-a", 1, vec![step(1, 1, 1_000)]);
+    world.submit("batch", "key-a", 2, vec![step(1, 1, 1_000)]);
+    world.pass(3_000);
+    assert_eq!(world.phase("batch", 2), Some(Phase::Completed));
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Queued));
+    world.advisor.silent = false;
+    world.pass(3_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+}
+
+#[test]
+fn a_new_leader_asks_anew() {
+    let mut world = world(1, 4);
+    let later = Step {
+        after: vec![0],
+        ..step(2, 1, 1_000)
+    };
+    world.submit("guarded", "key-a", 1, vec![step(2, 1, 1_000), later]);
+    world.pass(500);
+    world.take_over();
+    world.pass(5_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+    assert_eq!(world.unadvised, 0);
+}
+
+#[test]
+fn a_cancelled_job_is_asked_about_no_more() {
+    let mut world = world(1, 4);
+    world.advisor.good.clear();
+    world.submit("guarded", "key-a", 1, vec![step(1, 1, 1_000)]);
+    world.pass(30);
+    world.call("guarded", "key-a", 1, Ask::Cancel);
+    world.pass(500);
+    let asked = world.advisor.asked.len();
+    world.pass(5_000);
+    assert_eq!(world.advisor.asked.len(), asked);
+    assert_eq!(world.begun.len(), 0);
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::unwrap_used, clippy::panic, reason = "helpers of tests")]
 
+mod advice;
+mod advisor;
 mod cloud;
 mod evacuate;
 mod fake;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -1,5 +1,7 @@
 //! A scheduler with upstreams and a store that a test controls; time moves only when it says so.
 
+use super::advisor;
+use super::advisor::Advisor;
 use super::cloud::Cloud;
 use super::fake::Fake;
 use super::fake::Mood;
@@ -19,6 +21,7 @@
 use trefoilgauge::fleet::event::Reading;
 use trefoilgauge::fleet::event::Reply;
 use trefoilgauge::fleet::event::Started;
+use trefoilgauge::fleet::model::Advice;
 use trefoilgauge::fleet::model::Config;
 use trefoilgauge::fleet::model::How;
 use trefoilgauge::fleet::model::Listing;
@@ -58,6 +61,11 @@
     pub paces: u32,
     /// Whether the next of them is lost.
     pub lose_pace: bool,
+    /// Jobs of the queue that needs advice.
+    guarded: HashSet<Name>,
+    /// Starts that were declined for want of a ticket.
+    pub unadvised: u32,
+    pub advisor: Advisor,
     pub cloud: Cloud,
     /// What the operators were told of waves.
     pub told: Vec<(u64, bool)>,
@@ -76,6 +84,7 @@
         keep_ms: 120_000,
         restore_ms: 600,
         upkeep_ms: 2_000,
+        advice: true,
         reclaim_ms: 2_700,
     }
 }
@@ -93,9 +102,16 @@
             stretch,
             aim_ms,
             public: false,
-            advised: false,
+            advice: None,
         })
     };
+    let guarded = Arc::new(Queue {
+        advice: Some(Advice {
+            decide_ms: 50,
+            each_ms: 5,
+        }),
+        ..(*queue("guarded", 1, 3.0, 1_000)).clone()
+    });
     let workspace = |name: &str| {
         Arc::new(Workspace {
             name: name.into(),
@@ -108,6 +124,7 @@
             queue("urgent", 0, 1.5, 250),
             queue("scan", 1, 3.0, 1_000),
             queue("batch", 2, 3.0, 3_000),
+            guarded,
         ],
         keys: HashMap::from([
             ("key-a".to_owned(), workspace("a")),
@@ -150,6 +167,9 @@
             begun: Vec::new(),
             paces: 0,
             lose_pace: false,
+            guarded: HashSet::new(),
+            unadvised: 0,
+            advisor: Advisor::default(),
             cloud: Cloud::default(),
             told: Vec::new(),
             store_down: false,
@@ -244,6 +264,9 @@
     pub(crate) fn call(&mut self, queue: &str, key: &str, id: u64, ask: Ask) -> Option<Reply> {
         self.calls += 1;
         let call = self.calls;
+        if queue == "guarded" {
+            self.guarded.insert(format!("{id:016x}").into());
+        }
         let what = Call {
             host: "host".to_owned(),
             path: format!("/{queue}/{id:016x}"),
@@ -283,6 +306,9 @@
         while self.now < end {
             self.now += STEP_MS;
             self.work();
+            for event in self.advisor.answer(self.now) {
+                self.scheduler.step(self.now, event);
+            }
             self.answer_holds();
             self.settle();
         }
@@ -377,6 +403,11 @@
             Effect::Noted { at, number } => {
                 self.scheduler.step(now, Event::Noted { at, number });
             }
+            Effect::Advise {
+                step,
+                upstreams,
+                call_ms,
+            } => self.advisor.ask(now, step, upstreams, call_ms),
             Effect::ListMachines => {
                 let event = Event::Machines(self.cloud.list());
                 self.scheduler.step(now, event);
@@ -408,8 +439,12 @@
             Effect::Sealed { job } => self.scheduler.step(now, Event::Sealed(job)),
             Effect::Resign { why } => panic!("resigned: {why}"),
             Effect::Start {
-                at, run, until_ms, ..
-            } => self.start(&at, run, until_ms),
+                at,
+                run,
+                until_ms,
+                ticket,
+                ..
+            } => self.start(&at, run, until_ms, &ticket),
             Effect::Stop { at, run, .. } => self.stop(&at, run),
             Effect::Pace {
                 at, run, percent, ..
@@ -453,8 +488,12 @@
         }
     }
 
-    fn start(&mut self, at: &Name, run: RunId, until_ms: u64) {
+    fn start(&mut self, at: &Name, run: RunId, until_ms: u64, ticket: &str) {
         let now = self.now;
+        // The queue `guarded` is the one that needs advice.
+        let needs = self.guarded.contains(&run.task.job);
+        let unadvised = needs && !advisor::is_valid(now, ticket, &run.task.step_id(), at);
+        self.unadvised += u32::from(unadvised);
         let fake = self.upstreams.get_mut(at).unwrap();
         let work = self.work_ms.get(&*run.task.job).copied();
         let work = work.unwrap_or(1_000);
@@ -462,6 +501,7 @@
         let answer = match fake.mood {
             Mood::Silent => Started::Silent,
             Mood::Unwell => Started::Unwell,
+            _ if unadvised => Started::Unadvised,
             _ if barred => Started::Barred,
             mood => {
                 let before = fake.running.get(&run.task).map(|run| run.number);
