fix(fleet): refuse at once where neither a leader nor the store is reached

Ruled out: a lost reply between VMs (the link was sound, the deadlines passed).

Change: after two failed reads of the lead in a row a VM without a leader says so at once.

Test: fleet_host, in virtual time: 0 against 1.2 s before; while the store may still answer, callers wait as before.

--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -49,6 +49,10 @@
 /// Attempts to connect to a leader whose address declines.
 const DECLINED_TRIES: u32 = 2;
 
+/// Reads of the lead that fail in a row before callers are refused at once: a store that serves
+/// all but loses an answer fails one.
+const LOST_FAILURES: u32 = 2;
+
 const LEADER_KEY: &str = "leader";
 const DOUBT_KEY: &str = "doubt";
 
@@ -96,6 +100,7 @@
         leaving,
         heard,
         lead: Lead::default(),
+        failures: 0,
     };
     loop {
         voter.round().await;
@@ -108,6 +113,8 @@
     leaving: channel::Receiver<bool>,
     heard: Arc<AtomicU64>,
     lead: Lead,
+    /// Reads of the lead that failed in a row.
+    failures: u32,
 }
 
 impl Voter {
@@ -142,11 +149,30 @@
     }
 
     async fn refresh(&mut self) -> Result<(), Error> {
-        let rows = self.parts.store.newest(Area::Lead).await?;
-        self.lead = read_lead(&rows, Lead::default());
+        let read = self.parts.store.newest(Area::Lead).await;
+        self.reached(read.is_ok());
+        self.lead = read_lead(&read?, Lead::default());
         Ok(())
     }
 
+    /// Notes whether the store was reached: without it no leader can be found, and callers need not
+    /// wait for one.
+    fn reached(&mut self, reached: bool) {
+        self.failures = if reached { 0 } else { self.failures + 1 };
+        let lost = self.failures >= LOST_FAILURES;
+        self.desk.send_if_modified(|desk| match (&*desk, lost) {
+            (Desk::None, true) => {
+                *desk = Desk::Lost;
+                true
+            }
+            (Desk::Lost, false) => {
+                *desk = Desk::None;
+                true
+            }
+            _ => false,
+        });
+    }
+
     /// Waits as long as VMs that are better suited need to claim a vacant lead.
     async fn yield_to_others(&self) {
         sleep(Duration::from_millis(self.parts.claim_delay_ms)).await;
@@ -296,10 +322,10 @@
             key: DOUBT_KEY.to_owned(),
             value: self.parts.name.as_bytes().to_vec(),
         }];
-        self.parts
-            .store
-            .append(Area::Lead, Terms::Free, &doubt)
-            .await?;
+        let store = self.parts.store.clone();
+        let told = store.append(Area::Lead, Terms::Free, &doubt).await;
+        self.reached(told.is_ok());
+        told?;
         sleep(Duration::from_millis(CHALLENGE_MS)).await;
         self.refresh().await?;
         let answered = beat(&self.lead) != before;
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -65,6 +65,8 @@
 enum Desk {
     /// Nobody that is known.
     None,
+    /// Nobody that is known, and the store, which would tell, is out of reach.
+    Lost,
     /// This VM.
     Here(Engine),
     /// Another VM.
@@ -113,6 +115,7 @@
         if let Reply::Unavailable { .. } | Reply::Unknown = reply {
             let leader = match &*self.desk.borrow() {
                 Desk::None => "none",
+                Desk::Lost => "lost",
                 Desk::Here(_) => "here",
                 Desk::There(_) => "elsewhere",
             };
@@ -137,7 +140,7 @@
             _ => Desk::None,
         };
         let answer = match found {
-            Desk::None => {
+            Desk::None | Desk::Lost => {
                 return Reply::Unavailable {
                     wait_ms: LEADERLESS_WAIT_MS,
                 };
@@ -154,7 +157,7 @@
             return false;
         }
         match &*self.desk.borrow() {
-            Desk::None => false,
+            Desk::None | Desk::Lost => false,
             Desk::Here(engine) => engine.is_ready(),
             Desk::There(link) => link.is_ready(),
         }
--- a/src/fleet/host/relay.rs
+++ b/src/fleet/host/relay.rs
@@ -90,7 +90,7 @@
 fn take(frame: Frame, desk: &watch::Receiver<Desk>, tx: &mpsc::Sender<Frame>) {
     let engine = match &*desk.borrow() {
         Desk::Here(engine) => Some(engine.clone()),
-        Desk::None | Desk::There(_) => None,
+        Desk::None | Desk::Lost | Desk::There(_) => None,
     };
     let Some(call) = frame.call else {
         let pulse = Pulse {
