refactor(fleet): look steps up in one place, split two large files

Job::stretch and stretch_mut replace six chains of lookups; configuration and discovery moved from scheduler.rs to sightings.rs, the rows of the lead from lead.rs to area.rs. No decision changed; fleet (65), fleet_host (2) and docs_fleet (3) pass.

--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -8,9 +8,12 @@
 use super::model::RunId;
 use super::scheduler::Scheduler;
 use super::scheduler::place_of;
+use super::task::Job;
 use super::task::Live;
 use super::task::Place;
 use super::task::Stage;
+use super::task::Turn;
+use super::task::count_left;
 use super::timing::FAILS_SUSPECT;
 use super::timing::QUARANTINE_MS;
 use crate::prelude::*;
@@ -114,11 +117,7 @@
                 live.stage
             );
         }
-        if let Some(step) = job
-            .turns
-            .get_mut(&place.turn)
-            .and_then(|turn| turn.steps.get_mut(place.step as usize))
-        {
+        if let Some(step) = job.stretch_mut(place.turn, place.step) {
             step.ready = Some(now);
         }
         let finished = job.closed.is_some();
@@ -147,10 +146,7 @@
         let Some(step) = job.spec.steps.get(place.step as usize).cloned() else {
             return;
         };
-        let Some(turn) = job.turns.get_mut(&place.turn) else {
-            return;
-        };
-        let Some(stretch) = turn.steps.get_mut(place.step as usize) else {
+        let Some(stretch) = job.stretch_mut(place.turn, place.step) else {
             return;
         };
         if step.lasting {
@@ -163,7 +159,7 @@
         } else if let Some(task) = stretch.tasks.get_mut(place.index as usize) {
             task.done = true;
         }
-        stretch.left = super::task::count_left(&stretch.tasks);
+        stretch.left = count_left(&stretch.tasks);
         // A task that was slowed down tells nothing of others.
         if run.number == 1 && live.pace_at <= live.since {
             let queue = job.queue.clone();
@@ -181,11 +177,11 @@
         if job.closed.is_some() {
             return;
         }
-        let settled = |turn: &super::task::Turn| {
+        let settled = |turn: &Turn| {
             let mut tasks = turn.steps.iter().flat_map(|step| &step.tasks);
             turn.is_done() && tasks.all(|task| task.live.is_none())
         };
-        let all_done = job.turns.values().all(super::task::Turn::is_done);
+        let all_done = job.turns.values().all(Turn::is_done);
         let over = job.next_turn >= job.times();
         job.turns.retain(|_, turn| !settled(turn));
         self.dirty.insert(id.clone());
@@ -274,7 +270,7 @@
 }
 
 /// Returns the task that keeps what `place` saves and counts its failures: a gang has one.
-pub(super) fn keeper_of(job: &super::task::Job, place: Place) -> Place {
+pub(super) fn keeper_of(job: &Job, place: Place) -> Place {
     let step = job.spec.steps.get(place.step as usize);
     let index = if step.is_some_and(|step| step.gang) {
         0
--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -7,6 +7,11 @@
 
 use super::Desk;
 use super::Parts;
+use super::area::DOUBT_KEY;
+use super::area::LEADER_KEY;
+use super::area::Lead;
+use super::area::LeadRow;
+use super::area::read_lead;
 use super::engine;
 use super::frame::Pulse;
 use super::link;
@@ -18,7 +23,6 @@
 use crate::fleet::gauge;
 use crate::fleet::ports::Area;
 use crate::fleet::ports::Error;
-use crate::fleet::ports::Rows;
 use crate::fleet::ports::Terms;
 use crate::fleet::row::Row;
 use crate::fleet::timing::Timing;
@@ -53,40 +57,6 @@
 /// all but loses an answer fails one.
 const LOST_FAILURES: u32 = 2;
 
-const LEADER_KEY: &str = "leader";
-const DOUBT_KEY: &str = "doubt";
-
-/// Who leads, as the store says.
-#[derive(Clone, PartialEq, prost::Message)]
-struct LeadRow {
-    /// The epoch, which fences.
-    #[prost(uint64, tag = "1")]
-    epoch: u64,
-    /// The VM.
-    #[prost(string, tag = "2")]
-    name: String,
-    /// Where other VMs reach it.
-    #[prost(string, tag = "3")]
-    addr: String,
-    /// The start of its process.
-    #[prost(uint64, tag = "4")]
-    boot: u64,
-    /// Whether it has given up the lead.
-    #[prost(bool, tag = "5")]
-    vacant: bool,
-    /// Counts its answers to challenges.
-    #[prost(uint64, tag = "6")]
-    beat: u64,
-}
-
-/// The area as last read.
-#[derive(Debug, Clone, Default, PartialEq)]
-struct Lead {
-    row: Option<LeadRow>,
-    doubted: bool,
-    end: Offset,
-}
-
 /// Follows or takes the lead until the process ends.
 pub(super) async fn run(
     parts: Parts,
@@ -469,23 +439,6 @@
     }
 }
 
-fn read_lead(rows: &Rows, mut lead: Lead) -> Lead {
-    for row in &rows.rows {
-        if row.key == DOUBT_KEY {
-            lead.doubted = true;
-        }
-        if row.key != LEADER_KEY {
-            continue;
-        }
-        match LeadRow::decode(&*row.value) {
-            Ok(found) => lead.row = Some(found),
-            Err(error) => log::warn!("TG1311 the leader's row cannot be decoded: {error}"),
-        }
-    }
-    lead.end = rows.end;
-    lead
-}
-
 /// Returns once the leader has lost the store, or the lead, for a while.
 async fn lose_proof(pulse: &mut channel::Receiver<Option<Pulse>>) {
     let fine = |pulse: &Option<Pulse>| {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 mod runs;
 mod scheduler;
 pub mod settings;
+mod sightings;
 mod task;
 pub mod timing;
 mod upkeep;
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -202,8 +202,8 @@
     }
 
     fn kept(&mut self, now: u64, wait: &Waiting) -> Option<Vec<Name>> {
-        let turn = self.jobs.get_mut(&wait.job)?.turns.get_mut(&wait.turn)?;
-        let stretch = turn.steps.get_mut(wait.step as usize)?;
+        let job = self.jobs.get_mut(&wait.job)?;
+        let stretch = job.stretch_mut(wait.turn, wait.step)?;
         if stretch
             .kept
             .as_ref()
@@ -218,8 +218,7 @@
         if let Some(stretch) = self
             .jobs
             .get_mut(&wait.job)
-            .and_then(|job| job.turns.get_mut(&wait.turn))
-            .and_then(|turn| turn.steps.get_mut(wait.step as usize))
+            .and_then(|job| job.stretch_mut(wait.turn, wait.step))
         {
             stretch.kept = kept;
         }
@@ -229,8 +228,7 @@
         let tasks = self
             .jobs
             .get(&wait.job)
-            .and_then(|job| job.turns.get(&wait.turn))
-            .and_then(|turn| turn.steps.get(wait.step as usize))
+            .and_then(|job| job.stretch(wait.turn, wait.step))
             .map_or(&[][..], |step| &step.tasks);
         tasks.iter().flat_map(|task| task.shuns.clone()).collect()
     }
@@ -327,11 +325,7 @@
 
 /// Counts the runs of a step on an upstream.
 fn load_of(job: &Job, wait: &Waiting, name: &Name) -> u32 {
-    let Some(step) = job
-        .turns
-        .get(&wait.turn)
-        .and_then(|turn| turn.steps.get(wait.step as usize))
-    else {
+    let Some(step) = job.stretch(wait.turn, wait.step) else {
         return 0;
     };
     let here = |task: &&super::task::Task| task.live.as_ref().is_some_and(|l| l.at == *name);
--- /dev/null
+++ b/src/fleet/sightings.rs
@@ -0,0 +1,80 @@
+//! Applies configurations and what discovery says of upstreams.
+
+use super::event::Reading;
+use super::model::Config;
+use super::model::Listing;
+use super::scheduler::Scheduler;
+use super::upstream::Upstream;
+use crate::prelude::*;
+
+impl Scheduler {
+    /// Takes a newer configuration into force.
+    pub(super) fn configured(&mut self, config: Arc<Config>) {
+        let newer = self
+            .config
+            .as_ref()
+            .is_none_or(|held| held.version < config.version);
+        if newer {
+            log::info!(
+                "TG1403 configuration version={} queues={} keys={} in force",
+                config.version,
+                config.queues.len(),
+                config.keys.len()
+            );
+            self.config = Some(config);
+            self.changed = true;
+        }
+    }
+
+    /// Handles entries of upstreams.
+    pub(super) fn listed(&mut self, now: u64, listings: Vec<Listing>) {
+        for listing in listings {
+            let Some(known) = self.upstreams.get_mut(&listing.id) else {
+                log::info!(
+                    "TG1501 upstream={} service={} rack={} listed",
+                    listing.id,
+                    listing.service,
+                    listing.rack()
+                );
+                let upstream = Upstream::new(listing.clone(), now);
+                self.upstreams.insert(listing.id.clone(), upstream);
+                self.changed = true;
+                continue;
+            };
+            if known.listing.ready != listing.ready || !known.listed {
+                log::info!(
+                    "TG1502 upstream={} takes new work: {}",
+                    listing.id,
+                    listing.ready
+                );
+                self.changed = true;
+            }
+            known.rack = listing.rack();
+            if known.listing.born != listing.born || known.clock.clock_ms == 0 {
+                known.clock = Reading {
+                    clock_ms: listing.clock_ms,
+                    at: now,
+                };
+            }
+            known.listing = listing;
+            known.listed = true;
+        }
+    }
+
+    /// Handles upstreams that discovery has no longer.
+    pub(super) fn unlisted(&mut self, names: &[Name]) {
+        for name in names {
+            let Some(known) = self.upstreams.get_mut(name) else {
+                continue;
+            };
+            log::info!(
+                "TG1503 upstream={name} left discovery runs={}",
+                known.runs.len()
+            );
+            known.listed = false;
+            if known.runs.is_empty() && known.holds == 0 {
+                self.upstreams.remove(name);
+            }
+        }
+    }
+}
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -181,17 +181,25 @@
         self.spec.first_ms.saturating_add(later)
     }
 
+    /// Finds a step of an occurrence.
+    pub(super) fn stretch(&self, turn: u32, step: u32) -> Option<&Stretch> {
+        self.turns.get(&turn)?.steps.get(step as usize)
+    }
+
+    /// Finds a step of an occurrence.
+    pub(super) fn stretch_mut(&mut self, turn: u32, step: u32) -> Option<&mut Stretch> {
+        self.turns.get_mut(&turn)?.steps.get_mut(step as usize)
+    }
+
     /// Finds a task.
     pub(super) fn task(&self, place: Place) -> Option<&Task> {
-        let turn = self.turns.get(&place.turn)?;
-        let step = turn.steps.get(place.step as usize)?;
+        let step = self.stretch(place.turn, place.step)?;
         step.tasks.get(place.index as usize)
     }
 
     /// Finds a task.
     pub(super) fn task_mut(&mut self, place: Place) -> Option<&mut Task> {
-        let turn = self.turns.get_mut(&place.turn)?;
-        let step = turn.steps.get_mut(place.step as usize)?;
+        let step = self.stretch_mut(place.turn, place.step)?;
         step.tasks.get_mut(place.index as usize)
     }
 
@@ -212,10 +220,7 @@
 
     /// Counts the tasks of a step that are not at work.
     fn away(&self, place: Place) -> u32 {
-        let step = self
-            .turns
-            .get(&place.turn)
-            .and_then(|turn| turn.steps.get(place.step as usize));
+        let step = self.stretch(place.turn, place.step);
         let tasks = step.map_or(&[][..], |step| &step.tasks);
         let works = |task: &Task| {
             let live = task.live.as_ref();
