fix(fleet): a run seen in a report is proven from then on, not from the question

With a start unanswered, the report of a long renewal showed the run, and the run was marked as known since that renewal was sent. A second report, asked for after it but made before the run began and delayed by a lossy link, omitted the run, and settled it while it was at work. Found in the log: at 26.6146 s a report lists a run that had ended before 26.4825 s, so it was old, and settles one that began at 26.481 s.

Ruled out: a response of another request on the connection; a late start; rows that cannot be read (no TG1511).

Change: the run counts as known from the moment at which the report that shows it is handled. Test: once, a_report_that_was_asked_for_before_a_run_was_seen; it failed with 'starts while run Some(1) is at work' before.

--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -280,13 +280,16 @@
             });
         }
         for work in &report.running {
-            self.at_work(now, at, mark, work);
+            self.at_work(now, at, work);
         }
         self.pace(now, at, &report);
         self.find_vanished(now, at, mark, &report);
     }
 
-    fn at_work(&mut self, now: u64, at: &Name, mark: u64, work: &AtWork) {
+    fn at_work(&mut self, now: u64, at: &Name, work: &AtWork) {
+        // Not the mark of this report: another one that was asked for after it may have been made
+        // before the run began, and be under way yet.
+        let mark = self.mark;
         let Some(live) = self.live_of(at, &work.run) else {
             if self.is_foreign(&work.run) {
                 log::warn!(
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -57,6 +57,8 @@
     pub calm_ms: u64,
     /// What each other task adds to it at full speed, in milliseconds.
     pub harm_ms: u64,
+    /// Whether its responses are held up; orders are carried out.
+    pub stalled: bool,
     /// When it is gone, with all that runs there.
     pub leaves: Option<u64>,
     ends: u64,
@@ -76,6 +78,7 @@
             holds: Vec::new(),
             calm_ms: 0,
             harm_ms: 0,
+            stalled: false,
             leaves: None,
             ends: 0,
         }
--- a/tests/fleet/once.rs
+++ b/tests/fleet/once.rs
@@ -4,6 +4,7 @@
 use super::world::World;
 use super::world::gang;
 use super::world::step;
+use trefoilgauge::fleet::event::Ask;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::event::Reply;
 
@@ -139,3 +140,29 @@
     world.pass(100);
     assert_eq!(world.begun.len(), 2, "{:?}", world.begun);
 }
+
+#[test]
+fn a_report_that_was_asked_for_before_a_run_was_seen_does_not_settle_it() {
+    let mut world = World::new(1, 1);
+    let at = world.upstreams.keys().next().unwrap().clone();
+    for id in [1, 2, 3] {
+        world.work_ms.insert(format!("{id:016x}"), 4_000);
+    }
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 4_000)]);
+    world.submit("batch", "key-a", 2, vec![step(1, 1, 4_000)]);
+    world.pass(300);
+    // One report is under way; a stop asks for another one, and the next start is not answered.
+    world.upstreams.get_mut(&at).unwrap().stalled = true;
+    world.call("batch", "key-a", 2, Ask::Cancel);
+    world.submit("batch", "key-a", 3, vec![step(1, 1, 4_000)]);
+    assert_eq!(world.at_work(3).len(), 1);
+    // The first report shows the run; the second one was made before it began, and comes later.
+    let seen = world.report_without(&at, 99);
+    let stale = world.report_without(&at, 3);
+    world.tell(seen);
+    world.tell(stale);
+    world.upstreams.get_mut(&at).unwrap().stalled = false;
+    world.pass(5_000);
+    let runs = world.begun.iter().filter(|b| b.run.task.job.ends_with('3'));
+    assert_eq!(runs.count(), 1);
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -535,6 +535,9 @@
                 }
             }
         };
+        if fake.stalled {
+            return;
+        }
         let clock = (answer != Started::Silent).then_some(Reading {
             clock_ms: now,
             at: now,
@@ -585,6 +588,9 @@
         let now = self.now;
         let mut events = Vec::new();
         for (at, fake) in &mut self.upstreams {
+            if fake.stalled {
+                continue;
+            }
             let silent = fake.mood == Mood::Silent;
             let ended = !fake.ended.is_empty();
             let due = |(_, until): &mut (u64, u64)| match silent {
