--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -20,7 +20,9 @@
     pub(super) victims: Option<Victims>,
     pub(super) racks: Racks,
     /// Spots of the racks that are left to urgent work.
-    pub(super) urgent_only: HashSet<usize>,
+    pub(super) urgent_only: Arc<HashSet<usize>>,
+    /// Urgent jobs within the guarantees of their workspaces.
+    pub(super) entitled: HashSet<Name>,
     /// What found no place in this plan: rooms only shrink while it is made.
     pub(super) failed: HashMap<Shape, u32>,
     pub(super) busy_share: f64,
@@ -74,8 +76,8 @@
 }
 
 impl Scheduler {
-    /// Draws up the room of every upstream.
-    pub(super) fn board(&self, now: u64) -> Board {
+    /// Draws up the room of every upstream; `entitled` are the urgent jobs within guarantees.
+    pub(super) fn board(&self, now: u64, entitled: HashSet<Name>) -> Board {
         let mut spots = Vec::with_capacity(self.upstreams.len());
         let mut index = HashMap::with_capacity(self.upstreams.len());
         let mut ending = HashMap::new();
@@ -103,7 +105,8 @@
         let racks = Racks::new(&spots);
         let buffer = room * URGENT_PERCENT / 100;
         Board {
-            urgent_only: racks.freest(&spots, buffer),
+            urgent_only: Arc::new(racks.freest(&spots, buffer)),
+            entitled,
             racks,
             spots,
             index,
--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -77,12 +77,7 @@
 
     /// Stops what is left of a gang that lost a member.
     pub(super) fn stop_rest(&mut self, now: u64, run: &RunId) {
-        let gang = self
-            .jobs
-            .get(&run.task.job)
-            .and_then(|job| job.spec.steps.get(run.task.step as usize))
-            .is_some_and(|step| step.gang);
-        if gang {
+        if self.step_of(&run.task).is_some_and(|step| step.gang) {
             self.stop_gang(now, run);
         }
     }
--- a/src/fleet/evacuate.rs
+++ b/src/fleet/evacuate.rs
@@ -87,11 +87,7 @@
 
     /// Tells whether only some tasks of a run's step may be away at once.
     pub(super) fn is_limited(&self, run: &RunId) -> bool {
-        let step = self
-            .jobs
-            .get(&run.task.job)
-            .and_then(|job| job.spec.steps.get(run.task.step as usize));
-        step.is_some_and(Step::is_limited)
+        self.step_of(&run.task).is_some_and(Step::is_limited)
     }
 
     fn outlook(&self, now: u64, run: &RunId, leaves: u64, waits: bool) -> Option<Outlook> {
@@ -101,17 +97,12 @@
         if live.number != run.number || live.stage != Stage::Running {
             return None;
         }
-        let worked = now.saturating_sub(live.since);
-        let rest = if live.percent >= TELLING_PERCENT {
-            let percent = u64::from(live.percent.min(100));
-            live.moved.saturating_sub(live.since) * (100 - percent) / percent
-        } else {
-            self.durations.predict(&job.queue, step)
-        };
         let ends = if live.percent >= TELLING_PERCENT {
-            live.moved + rest
+            let percent = u64::from(live.percent.min(100));
+            let worked = live.moved.saturating_sub(live.since);
+            live.moved + worked * (100 - percent) / percent
         } else {
-            live.since + rest.max(worked)
+            now.max(live.since + self.durations.predict(&job.queue, step))
         };
         Some(Outlook {
             leaves,
--- a/src/fleet/evict.rs
+++ b/src/fleet/evict.rs
@@ -136,6 +136,8 @@
 ) -> Option<(f64, Eviction)> {
     let need = request.wish.step.need();
     let mut members: HashMap<usize, u32> = HashMap::new();
+    let work: HashMap<usize, Vec<(usize, Need)>> =
+        rooms.keys().map(|&at| (at, victims.on(at))).collect();
     let mut chosen = Vec::new();
     let mut found = Vec::with_capacity(request.count as usize);
     for _ in 0..request.count {
@@ -145,7 +147,7 @@
             .filter(|at| members.get(*at).is_none_or(|here| *here < spread));
         let options = open.filter_map(|&at| {
             let room = rooms.get(&at)?;
-            let (waste, stops) = clear(victims, request, &chosen, at, *room)?;
+            let (waste, stops) = clear(victims, request, &chosen, work.get(&at)?, *room)?;
             Some((waste, room.accelerators, at, stops))
         });
         let (_, _, at, stops) = options.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))?;
@@ -162,20 +164,20 @@
     Some(total(victims, chosen, found))
 }
 
-/// Returns the cheapest work whose stop, beside `chosen`, lets one more task into a spot.
+/// Returns the cheapest of the `work` on a spot whose stop, beside `chosen`, lets one more task in.
 fn clear(
     victims: &Victims,
     request: &Request<'_>,
     chosen: &[usize],
-    at: usize,
+    work: &[(usize, Need)],
     mut room: Need,
 ) -> Option<(f64, Vec<usize>)> {
     let need = request.wish.step.need();
     let mut all = chosen.to_vec();
     let mut stops: Vec<(usize, Need)> = Vec::new();
-    let mut rest = victims.on(at).into_iter();
+    let mut rest = work.iter();
     while !need.fits(&room) {
-        let (index, gain) = rest.next()?;
+        let &(index, gain) = rest.next()?;
         if victims.may_go(index, &all, request.urgent) {
             room.add(&gain);
             all.push(index);
--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -74,11 +74,7 @@
         let mut tails = Vec::new();
         let mut fills = Vec::new();
         for work in &report.running {
-            let step = self
-                .jobs
-                .get(&work.run.task.job)
-                .and_then(|job| job.spec.steps.get(work.run.task.step as usize));
-            match step {
+            match self.step_of(&work.run.task) {
                 Some(step) if step.fills => fills.push(work.run.clone()),
                 Some(step) if step.lasting && step.target_ms > 0 => {
                     tails.push((work.figure, step.target_ms));
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -30,18 +30,20 @@
 /// The part of the accelerators that is left to urgent work, in percent: a burst of it would
 /// otherwise stop as much other work as it takes.
 pub(super) const URGENT_PERCENT: u64 = 12;
+
 impl Scheduler {
     /// Places what waits; returns how many steps waited.
     pub(super) fn plan(&mut self, now: u64) -> u64 {
         let Some(config) = self.config.clone() else {
             return 0;
         };
-        let mut waiting = self.waiting_steps(now, &config);
+        let entitled = self.entitled(&config);
+        let mut waiting = self.waiting_steps(now, &config, &entitled);
         if waiting.is_empty() {
             return 0;
         }
         waiting.sort_by_key(|wait| wait.rank);
-        let mut board = self.board(now);
+        let mut board = self.board(now, entitled);
         for wait in &waiting {
             self.place_step(now, &mut board, wait);
         }
@@ -78,7 +80,7 @@
         let allowed = self.allowed(now, board, wait);
         let wish = Wish {
             far,
-            barred: left.as_ref(),
+            barred: left.as_deref(),
             only: allowed.as_ref(),
             ..wish
         };
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -5,9 +5,12 @@
 use super::evict::Request;
 use super::gauge;
 use super::model::Need;
+use super::model::StepId;
+use super::model::TaskId;
 use super::place::Wish;
 use super::plan::KEEP_MS;
 use super::scheduler::Scheduler;
+use super::scheduler::place_of;
 use super::task::Job;
 use super::task::Place;
 use super::task::Stage;
@@ -88,8 +91,7 @@
             return Victims::default();
         };
         let mut limits = Limits::default();
-        let entitled = self.entitled(config);
-        let mut found: HashMap<(Name, u32, u32, Option<u32>), Victim> = HashMap::new();
+        let mut found: HashMap<(StepId, Option<u32>), Victim> = HashMap::new();
         for (name, upstream) in &self.upstreams {
             let Some(&at) = board.index.get(name) else {
                 continue;
@@ -98,7 +100,7 @@
                 let Some(job) = self.jobs.get(&run.task.job) else {
                     continue;
                 };
-                let place = super::scheduler::place_of(&run.task);
+                let place = place_of(&run.task);
                 let priority = config.queue(&job.queue).map_or(0, |queue| queue.priority);
                 let live = job.task(place).and_then(|task| task.live.as_ref());
                 let Some(live) = live.filter(|live| live.stage != Stage::Stopping) else {
@@ -106,16 +108,16 @@
                 };
                 let step = &job.spec.steps[place.step as usize];
                 let urgent = priority == 0;
-                if urgent && entitled.contains(&job.id) {
+                if urgent && board.entitled.contains(&job.id) {
                     continue;
                 }
                 let single = (!step.gang).then_some(place.index);
-                let key = (run.task.job.clone(), place.turn, place.step, single);
+                let key = (run.task.step_id(), single);
                 let victim = found.entry(key).or_insert_with(|| Victim {
                     job: run.task.job.clone(),
                     place,
                     urgent,
-                    limited: limits.of(job, place),
+                    limited: limits.of(job, &run.task),
                     waste: 0.0,
                     frees: Vec::new(),
                 });
@@ -158,22 +160,21 @@
 /// How many tasks of each lasting step may be stopped now.
 #[derive(Debug, Default)]
 struct Limits {
-    index: HashMap<(Name, u32, u32), usize>,
+    index: HashMap<StepId, usize>,
     allowed: Vec<u32>,
 }
 
 impl Limits {
     /// Returns the position of the limit that a task is under, if any.
-    fn of(&mut self, job: &Job, place: Place) -> Option<usize> {
-        let step = job.spec.steps.get(place.step as usize)?;
+    fn of(&mut self, job: &Job, task: &TaskId) -> Option<usize> {
+        let step = job.spec.steps.get(task.step as usize)?;
         if !step.is_limited() {
             return None;
         }
-        let key = (job.id.clone(), place.turn, place.step);
         let next = self.allowed.len();
-        let at = *self.index.entry(key).or_insert(next);
+        let at = *self.index.entry(task.step_id()).or_insert(next);
         if at == next {
-            self.allowed.push(job.spare(place));
+            self.allowed.push(job.spare(place_of(task)));
         }
         Some(at)
     }
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -10,6 +10,7 @@
 use super::learn::Durations;
 use super::model::Config;
 use super::model::RunId;
+use super::model::Step;
 use super::model::TaskId;
 use super::row::JobRow;
 use super::row::Row;
@@ -407,6 +408,12 @@
         }
     }
 
+    /// Finds the step of a task.
+    pub(super) fn step_of(&self, task: &TaskId) -> Option<&Step> {
+        let job = self.jobs.get(&task.job)?;
+        job.spec.steps.get(task.step as usize)
+    }
+
     /// Counts open jobs, upstreams, and upstreams that do not answer.
     pub fn counts(&self) -> (usize, usize, usize) {
         let silent = self.upstreams.values().filter(|up| up.is_silent()).count();
--- a/src/fleet/timing.rs
+++ b/src/fleet/timing.rs
@@ -1,6 +1,6 @@
 //! The figures that the scheduler's decisions use.
 
-/// Bounds of the deployment, in milliseconds.
+/// Bounds of the deployment, in milliseconds, and what it has.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Timing {
     /// The longest lease that an upstream grants.
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -48,6 +48,13 @@
     Done,
 }
 
+impl Stage {
+    /// Tells whether the machine counts as down: ordered, or not back yet.
+    fn is_down(&self) -> bool {
+        matches!(self, Self::Ordered(_) | Self::Down(_))
+    }
+}
+
 /// What the operators were told of a wave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Told {
@@ -145,15 +152,30 @@
         }
     }
 
+    /// Returns what differs whenever the row does: machines only go on from being ordered down to
+    /// being back.
+    fn mark(&self) -> (u32, u32, bool, bool) {
+        (
+            self.count(Stage::is_down),
+            self.count(|stage| *stage == Stage::Done),
+            self.is_completed(),
+            self.told == Told::Completed,
+        )
+    }
+
+    fn is_completed(&self) -> bool {
+        matches!(self.told, Told::Ending | Told::Completed)
+    }
+
     fn row(&self) -> WaveRow {
         let names = |fits: fn(&Stage) -> bool| {
             let found = self.stages.iter().filter(|(_, stage)| fits(stage));
             found.map(|(id, _)| id.to_string()).collect()
         };
         WaveRow {
-            ordered: names(|stage| matches!(stage, Stage::Ordered(_) | Stage::Down(_))),
+            ordered: names(Stage::is_down),
             done: names(|stage| *stage == Stage::Done),
-            completed: matches!(self.told, Told::Ending | Told::Completed),
+            completed: self.is_completed(),
             announced: self.told == Told::Completed,
         }
     }
@@ -251,13 +273,12 @@
             if open.told == Told::Completed {
                 continue;
             }
-            let before = open.row();
+            let before = open.mark();
             if let Some(listed_at) = upkeep.listed_at {
                 self.advance_wave(now, open, &upkeep.machines, listed_at);
             }
             self.tell_wave(now, open);
-            let after = open.row();
-            if before != after {
+            if before != open.mark() {
                 self.out.rows.push(open.stored());
             }
         }
@@ -307,7 +328,7 @@
     ) {
         self.finish_machines(now, open, machines, listed_at);
         let maximum = open.wave.maximum.max(1);
-        let mut down = open.count(|stage| matches!(stage, Stage::Ordered(_) | Stage::Down(_)));
+        let mut down = open.count(Stage::is_down);
         let clearing = open.count(|stage| matches!(stage, Stage::Clearing(_)));
         let until = now + open.patience_ms(self.timing.upkeep_ms);
         for id in self.next_machines(open, machines, maximum.saturating_sub(clearing)) {
--- a/src/fleet/waiting.rs
+++ b/src/fleet/waiting.rs
@@ -68,8 +68,12 @@
     }
 
     /// Lists the steps with tasks that wait for a place.
-    pub(super) fn waiting_steps(&mut self, now: u64, config: &Config) -> Vec<Waiting> {
-        let entitled = self.entitled(config);
+    pub(super) fn waiting_steps(
+        &mut self,
+        now: u64,
+        config: &Config,
+        entitled: &HashSet<Name>,
+    ) -> Vec<Waiting> {
         let mut found = Vec::new();
         let mut idle = Vec::new();
         for id in &self.pending {
--- a/src/modules/engine.rs
+++ b/src/modules/engine.rs
@@ -200,7 +200,7 @@
     }
 }
 
-/// Returns the wall time in milliseconds since 1970.
+/// Returns the wall time in milliseconds since 1970; it jumps with the machine's time of day.
 pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.unwrap_or_default().as_millis() as u64
