--- /dev/null
+++ b/tests/fleet/world/carry.rs
@@ -0,0 +1,279 @@
+//! Carries out what the scheduler wants done, as upstreams and the platform of a test would.
+
+use super::Begun;
+use super::HOLD_LATE_MS;
+use super::WALL_MS;
+use super::World;
+use crate::advisor;
+use crate::fake::Fake;
+use crate::fake::Mood;
+use crate::fake::Running;
+use trefoilgauge::fleet::Effect;
+use trefoilgauge::fleet::Event;
+use trefoilgauge::fleet::event::Held;
+use trefoilgauge::fleet::event::Ordered;
+use trefoilgauge::fleet::event::Reading;
+use trefoilgauge::fleet::event::Started;
+use trefoilgauge::fleet::model::How;
+use trefoilgauge::fleet::model::RunId;
+use trefoilgauge::fleet::row::Row;
+use trefoilgauge::prelude::*;
+
+impl World {
+    pub(super) fn settle(&mut self) {
+        for _ in 0..100 {
+            let output = self.scheduler.finish(self.now, WALL_MS + self.now);
+            if output.rows.is_empty() && output.gated.is_empty() && output.free.is_empty() {
+                break;
+            }
+            for effect in output.free {
+                self.carry(effect);
+            }
+            if self.store_down {
+                self.held_back.push((output.rows, output.gated));
+            } else {
+                self.commit(output.rows, output.gated);
+            }
+            self.answer_holds();
+        }
+        self.assert_single();
+    }
+
+    pub(super) fn commit(&mut self, rows: Vec<Row>, gated: Vec<Effect>) {
+        for row in rows {
+            if row.value.is_empty() {
+                self.rows.remove(&row.key);
+            } else {
+                self.rows.insert(row.key, row.value);
+            }
+        }
+        for effect in gated {
+            self.carry(effect);
+        }
+    }
+
+    fn carry(&mut self, effect: Effect) {
+        let now = self.now;
+        match effect {
+            Effect::Reply { call, reply } => {
+                self.replies.insert(call, reply);
+            }
+            Effect::Noted { at, number } => {
+                self.scheduler.step(now, Event::Noted { at, number });
+            }
+            Effect::Advise {
+                step,
+                upstreams,
+                call_ms,
+            } => self.advisor.ask(now, step, upstreams, call_ms),
+            Effect::ListMachines => {
+                let event = Event::Machines(self.cloud.list());
+                self.scheduler.step(now, event);
+            }
+            Effect::TakeDown { machine, wave } => {
+                let (answer, gone) = self.cloud.take_down(now, &machine, wave);
+                if let Some(gone) = gone {
+                    let fake = self.upstreams.get_mut(&gone).unwrap();
+                    fake.leaves = Some(now);
+                    fake.work(now);
+                    self.scheduler.step(now, Event::Unlisted(vec![gone]));
+                }
+                let event = Event::Downed {
+                    machine,
+                    wave,
+                    answer,
+                };
+                self.scheduler.step(now, event);
+            }
+            Effect::Announce { wave, completed } => {
+                self.told.push((wave, completed));
+                let event = Event::Announced {
+                    wave,
+                    completed,
+                    stored: true,
+                };
+                self.scheduler.step(now, event);
+            }
+            Effect::Sealed { job } => self.scheduler.step(now, Event::Sealed(job)),
+            Effect::Resign { why } => panic!("resigned: {why}"),
+            Effect::Start {
+                at,
+                run,
+                until_ms,
+                ticket,
+                ..
+            } => self.start(&at, run, until_ms, &ticket),
+            Effect::Stop { at, run, .. } => self.stop(&at, run),
+            Effect::Pace {
+                at, run, percent, ..
+            } => {
+                self.paces += 1;
+                let lost = std::mem::take(&mut self.lose_pace);
+                let fake = self.upstreams.get_mut(&at).unwrap();
+                if let Some(running) = fake.running.get_mut(&run.task).filter(|_| !lost) {
+                    running.pace = percent;
+                }
+                let answer = if lost { Ordered::Silent } else { Ordered::Yes };
+                self.scheduler.step(now, Event::Paced { at, run, answer });
+            }
+            Effect::Hold {
+                at,
+                until_ms,
+                seen,
+                wait_ms,
+                mark,
+                ..
+            } => {
+                let Some(fake) = self.upstreams.get_mut(&at) else {
+                    return;
+                };
+                if fake.mood == Mood::Silent {
+                    let event = Event::Held {
+                        at,
+                        mark,
+                        answer: Held::Silent,
+                        clock: None,
+                    };
+                    self.scheduler.step(now, event);
+                    return;
+                }
+                fake.lease = fake.lease.max(until_ms);
+                fake.seen = fake.seen.max(seen);
+                let seen = fake.seen;
+                fake.ended.retain(|end| end.number > seen);
+                fake.holds.push((mark, now + wait_ms));
+            }
+        }
+    }
+
+    fn start(&mut self, at: &Name, run: RunId, until_ms: u64, ticket: &str) {
+        let now = self.now;
+        // The queue `guarded` is the one that needs advice.
+        let needs = self.guarded.contains(&run.task.job);
+        let unadvised = needs && !advisor::is_valid(now, ticket, &run.task.step_id(), at);
+        self.unadvised += u32::from(unadvised);
+        let fake = self.upstreams.get_mut(at).unwrap();
+        let work = self.work_ms.get(&*run.task.job).copied();
+        let work = work.unwrap_or(1_000);
+        let barred = fake.barred.get(&run.task).is_some_and(|n| *n >= run.number);
+        let answer = match fake.mood {
+            Mood::Silent => Started::Silent,
+            Mood::Unwell => Started::Unwell,
+            _ if unadvised => Started::Unadvised,
+            _ if barred => Started::Barred,
+            mood => {
+                let before = fake.running.get(&run.task).map(|run| run.number);
+                let again = before.is_some_and(|number| number != run.number);
+                assert!(!again, "{run:?} starts while run {before:?} is at work");
+                let first = before.is_none();
+                if first {
+                    self.begun.push(Begun {
+                        run: run.clone(),
+                        at: at.clone(),
+                        time: now,
+                    });
+                }
+                fake.lease = fake.lease.max(until_ms);
+                let end = if mood == Mood::Failing {
+                    now + 100
+                } else {
+                    now + work
+                };
+                let started = Running {
+                    number: run.number,
+                    start: now,
+                    end,
+                    pace: 100,
+                };
+                fake.running.insert(run.task.clone(), started);
+                if mood == Mood::Mute && first {
+                    Started::Silent
+                } else {
+                    Started::Yes
+                }
+            }
+        };
+        if fake.stalled {
+            return;
+        }
+        let clock = (answer != Started::Silent).then_some(Reading {
+            clock_ms: now,
+            at: now,
+        });
+        let event = Event::Started {
+            at: at.clone(),
+            run,
+            answer,
+            clock,
+        };
+        self.scheduler.step(now, event);
+    }
+
+    fn stop(&mut self, at: &Name, run: RunId) {
+        let now = self.now;
+        let fake = self.upstreams.get_mut(at).unwrap();
+        let answer = if fake.mood == Mood::Silent {
+            Ordered::Silent
+        } else {
+            fake.barred.insert(run.task.clone(), run.number);
+            fake.end(&run.task, How::Stopped);
+            Ordered::Yes
+        };
+        let event = Event::Stopped {
+            at: at.clone(),
+            run,
+            answer,
+            clock: None,
+        };
+        self.scheduler.step(now, event);
+    }
+
+    pub(super) fn work(&mut self) {
+        let back = self.cloud.work(self.now);
+        for id in &back {
+            let rack = id[2..3].parse().unwrap();
+            self.upstreams.insert(id.clone(), Fake::new(id, rack));
+        }
+        if !back.is_empty() {
+            self.list();
+        }
+        for fake in self.upstreams.values_mut() {
+            fake.work(self.now);
+        }
+    }
+
+    pub(super) fn answer_holds(&mut self) {
+        let now = self.now;
+        let mut events = Vec::new();
+        for (at, fake) in &mut self.upstreams {
+            if fake.stalled {
+                continue;
+            }
+            let silent = fake.mood == Mood::Silent;
+            let ended = !fake.ended.is_empty();
+            let due = |(_, until): &mut (u64, u64)| match silent {
+                true => *until + HOLD_LATE_MS <= now,
+                false => ended || *until <= now,
+            };
+            let marks: Vec<(u64, u64)> = fake.holds.extract_if(.., due).collect();
+            for (mark, _) in marks {
+                let (answer, clock) = if silent {
+                    (Held::Silent, None)
+                } else {
+                    let clock_ms = now;
+                    let clock = Reading { clock_ms, at: now };
+                    (Held::Report(fake.report(now)), Some(clock))
+                };
+                events.push(Event::Held {
+                    at: at.clone(),
+                    mark,
+                    answer,
+                    clock,
+                });
+            }
+        }
+        for event in events {
+            self.scheduler.step(now, event);
+        }
+    }
+}
