feat(fleet): elect the leader without I/O, and let callers ride over a change of it

Each of 146 followers wrote a doubt, and each doubt moved the end that the answer and the claims named.

Change: election as a state machine without I/O in src/fleet/election; a VM that loads says so and is left alone for 5 s; one doubt (conditional) and unconditional answers; three deputies watch closely; larger VMs claim first, a stop names its successor, a small leader hands over once; a store that was away must have served a VM for 1 s before it claims an unproven lead. Rows are read page by page, other VMs are answered in between. Calls go to the next leader within their deadline; refusals count only from a later epoch.

--- a/src/ctl/lines.rs
+++ b/src/ctl/lines.rs
@@ -9,7 +9,7 @@
 
 /// Numbers whose lines tell who led, and whether the store and the configuration were reached.
 const AROUND: [&str; 13] = [
-    "TG1101", "TG1102", "TG1109", "TG1303", "TG1304", "TG1306", "TG1307", "TG1308", "TG1401",
+    "TG1101", "TG1102", "TG1109", "TG1301", "TG1304", "TG1306", "TG1307", "TG1308", "TG1401",
     "TG1402", "TG1403", "TG1404", "TG1405",
 ];
 /// The start of the numbers of lines about upstreams.
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -1,6 +1,8 @@
 //! The leader's task: feeds the scheduler, stores what it decides, then carries it out.
 
 use super::super::Scheduler;
+use super::Answer;
+use super::Missed;
 use super::Parts;
 use super::hands::Hands;
 use crate::fleet::Effect;
@@ -39,7 +41,7 @@
 /// The age of the last confirmation from which on other VMs are told that it is missing, in
 /// milliseconds: a store that answers 60 times as slowly as usual confirms within 1.2 s, and others
 /// wait a while longer.
-const PROVEN_MS: u64 = 1_000;
+pub(super) const PROVEN_MS: u64 = 1_000;
 /// The age of the last confirmation from which on no order is sent, in milliseconds: with a lease
 /// on top, work outlives an outage of the store of 10 s; the next leader waits as long for
 /// upstreams that it cannot reach.
@@ -86,14 +88,16 @@
 
 impl Engine {
     /// Answers a call.
-    pub(super) async fn call(&self, what: Call) -> Reply {
+    ///
+    /// # Errors
+    ///
+    /// This VM stopped leading before it had the call, or before it had replied.
+    pub(super) async fn call(&self, what: Call) -> Answer {
         let (tx, rx) = oneshot::channel();
         if self.tx.send(Input::Call(what, tx)).await.is_err() {
-            return Reply::Unavailable {
-                wait_ms: super::LEADERLESS_WAIT_MS,
-            };
+            return Err(Missed::Declined);
         }
-        rx.await.unwrap_or(Reply::Unknown)
+        rx.await.map_err(|_| Missed::Lost)
     }
 
     /// Tells the scheduler something.
@@ -122,7 +126,7 @@
 }
 
 /// Tells how long ago an own time was.
-fn age(at: &AtomicU64) -> u64 {
+pub(super) fn age(at: &AtomicU64) -> u64 {
     boot_ms().saturating_sub(at.load(Ordering::Relaxed))
 }
 
--- a/src/fleet/host/frame.rs
+++ b/src/fleet/host/frame.rs
@@ -1,5 +1,9 @@
 //! The frames between VMs: length-delimited Protocol Buffers messages.
 
+use super::Answer;
+use super::Missed;
+use crate::fleet::election::Member;
+use crate::fleet::election::Pulse;
 use crate::fleet::event::Ask;
 use crate::fleet::event::Call;
 use crate::fleet::event::Phase;
@@ -32,21 +36,77 @@
     pub(super) reply: Option<ReplyFrame>,
     /// The state of the VM that answers a sign of life.
     #[prost(message, optional, tag = "4")]
-    pub(super) pulse: Option<Pulse>,
+    pub(super) pulse: Option<PulseFrame>,
+    /// What the VM that connects says of itself: first, and when it has changed.
+    #[prost(message, optional, tag = "5")]
+    pub(super) hello: Option<Hello>,
 }
 
-/// What a VM says of itself.
-#[derive(Clone, PartialEq, prost::Message)]
-pub(super) struct Pulse {
+/// What the VM that is connected to says of itself.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(super) struct PulseFrame {
     /// Whether it leads.
     #[prost(bool, tag = "1")]
     pub(super) leads: bool,
     /// Whether it answers calls.
     #[prost(bool, tag = "2")]
     pub(super) ready: bool,
-    /// Whether the store has confirmed its lead lately.
+    /// Whether the store has answered it lately.
     #[prost(bool, tag = "3")]
     pub(super) proven: bool,
+    /// Identifies its process.
+    #[prost(uint64, tag = "4")]
+    pub(super) boot: u64,
+    /// The epoch that it loads, else 0.
+    #[prost(uint64, tag = "5")]
+    pub(super) loads: u64,
+    /// Whether the VM that connected is to watch it closely.
+    #[prost(bool, tag = "6")]
+    pub(super) deputy: bool,
+    /// The largest share of a processor among VMs that could lead, in thousandths of a core.
+    #[prost(uint64, tag = "7")]
+    pub(super) best_milli: u64,
+}
+
+impl From<PulseFrame> for Pulse {
+    fn from(frame: PulseFrame) -> Self {
+        Self {
+            boot: frame.boot,
+            leads: frame.leads,
+            loads: frame.loads,
+            proven: frame.proven,
+            deputy: frame.deputy,
+            best_milli: frame.best_milli,
+        }
+    }
+}
+
+/// What a VM that connects says of itself.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub(super) struct Hello {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub(super) name: String,
+    /// Its data centre.
+    #[prost(string, tag = "2")]
+    pub(super) centre: String,
+    /// Its share of a processor, in thousandths of a core.
+    #[prost(uint64, tag = "3")]
+    pub(super) milli: u64,
+    /// Whether it could lead.
+    #[prost(bool, tag = "4")]
+    pub(super) fit: bool,
+}
+
+impl From<Hello> for Member {
+    fn from(hello: Hello) -> Self {
+        Self {
+            name: hello.name.into(),
+            centre: hello.centre.into(),
+            milli: hello.milli,
+            fit: hello.fit,
+        }
+    }
 }
 
 /// A call of a caller.
@@ -75,7 +135,7 @@
 /// A reply.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct ReplyFrame {
-    /// The kind of reply, in the order of [`Reply`].
+    /// The kind of reply, in the order of [`Reply`]; 11 where the VM does not lead.
     #[prost(uint32, tag = "1")]
     pub(super) kind: u32,
     /// A wait, a state or a count.
@@ -122,8 +182,18 @@
     }
 }
 
-impl From<Reply> for ReplyFrame {
-    fn from(reply: Reply) -> Self {
+impl From<Answer> for ReplyFrame {
+    fn from(answer: Answer) -> Self {
+        let reply = match answer {
+            Ok(reply) => reply,
+            Err(Missed::Declined) => {
+                return Self {
+                    kind: 11,
+                    ..Self::default()
+                };
+            }
+            Err(Missed::Lost) => Reply::Unknown,
+        };
         let (kind, figure, text) = match reply {
             Reply::Accepted => (0, 0, String::new()),
             Reply::Refused { wait_ms, why } => (1, wait_ms, why.to_owned()),
@@ -141,26 +211,27 @@
     }
 }
 
-impl From<ReplyFrame> for Reply {
+impl From<ReplyFrame> for Answer {
     fn from(frame: ReplyFrame) -> Self {
-        match frame.kind {
-            0 => Self::Accepted,
-            1 => Self::Refused {
+        Ok(match frame.kind {
+            0 => Reply::Accepted,
+            1 => Reply::Refused {
                 wait_ms: frame.figure,
                 why: "refused by the leader",
             },
-            2 => Self::State(phase_of(frame.figure)),
-            3 => Self::Waiting(frame.figure),
-            4 => Self::Cancelled,
-            5 => Self::Gone,
-            6 => Self::NoQueue,
-            7 => Self::BadKey,
-            8 => Self::Bad(frame.text),
-            10 => Self::Unavailable {
+            2 => Reply::State(phase_of(frame.figure)),
+            3 => Reply::Waiting(frame.figure),
+            4 => Reply::Cancelled,
+            5 => Reply::Gone,
+            6 => Reply::NoQueue,
+            7 => Reply::BadKey,
+            8 => Reply::Bad(frame.text),
+            10 => Reply::Unavailable {
                 wait_ms: frame.figure,
             },
-            _ => Self::Unknown,
-        }
+            11 => return Err(Missed::Declined),
+            _ => return Err(Missed::Lost),
+        })
     }
 }
 
--- a/src/fleet/host/link.rs
+++ b/src/fleet/host/link.rs
@@ -1,11 +1,14 @@
 //! The connection of a VM to the one that leads.
 
+use super::Answer;
+use super::Missed;
 use super::frame::CallFrame;
 use super::frame::Frame;
-use super::frame::Pulse;
+use super::frame::Hello;
+use super::frame::PulseFrame;
 use super::frame::codec;
+use crate::fleet::election::Lost;
 use crate::fleet::event::Call;
-use crate::fleet::event::Reply;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -17,48 +20,46 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
-/// The time between two signs of life, in milliseconds.
-const PULSE_MS: u64 = 300;
-/// The silence after which a connection is given up, in milliseconds: a slow VM answers within
-/// two signs of life.
-const SILENT_MS: u64 = 900;
+/// The time between two signs of life of a deputy, in milliseconds.
+const DEPUTY_PULSE_MS: u64 = 150;
+/// The silence after which a deputy gives a connection up, in milliseconds: a leader with an eighth
+/// of a core answers within three signs of life.
+const DEPUTY_SILENT_MS: u64 = 550;
+/// The time between two signs of life of other VMs, in milliseconds: the leader answers hundreds.
+const PULSE_MS: u64 = 500;
+/// The silence after which other VMs give a connection up, in milliseconds.
+const SILENT_MS: u64 = 1_300;
 /// The time in which a connection must be made, in milliseconds.
 const CONNECT_MS: u64 = 600;
 /// Calls that may wait to be written.
 const MAX_QUEUED: usize = 1_024;
 
-/// How a connection ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum Lost {
-    /// The address declines connections, or closed this one: the process is gone.
-    Closed(String),
-    /// Nothing comes back.
-    Silent,
-}
-
 /// A call on its way, and who waits for the reply.
-type Pending = (Call, oneshot::Sender<Reply>);
+type Pending = (Call, oneshot::Sender<Answer>);
 
 /// A handle for calls over the connection.
 #[derive(Debug, Clone)]
 pub(super) struct Link {
     tx: mpsc::Sender<Pending>,
-    pulse: watch::Receiver<Option<Pulse>>,
+    pulse: watch::Receiver<Option<PulseFrame>>,
 }
 
 impl Link {
-    /// Passes a call on; whether it took effect is unknown if the connection breaks.
-    pub(super) async fn call(&self, what: Call) -> Reply {
+    /// Passes a call on.
+    ///
+    /// # Errors
+    ///
+    /// The connection is gone, or the VM at its other end does not lead.
+    pub(super) async fn call(&self, what: Call) -> Answer {
         let (tx, rx) = oneshot::channel();
         if self.tx.send((what, tx)).await.is_err() {
-            return Reply::Unavailable {
-                wait_ms: super::LEADERLESS_WAIT_MS,
-            };
+            return Err(Missed::Declined);
         }
-        rx.await.unwrap_or(Reply::Unknown)
+        rx.await.unwrap_or(Err(Missed::Lost))
     }
 
     /// Tells whether the leader answers calls.
@@ -69,8 +70,8 @@
             .is_some_and(|pulse| pulse.ready)
     }
 
-    /// Tells what the leader said of itself last.
-    pub(super) fn pulse(&self) -> watch::Receiver<Option<Pulse>> {
+    /// Tells what the VM at the other end said of itself last.
+    pub(super) fn pulse(&self) -> watch::Receiver<Option<PulseFrame>> {
         self.pulse.clone()
     }
 }
@@ -80,7 +81,8 @@
 pub(super) struct Wire {
     framed: Framed<TcpStream, tokio_util::codec::LengthDelimitedCodec>,
     rx: mpsc::Receiver<Pending>,
-    pulse: watch::Sender<Option<Pulse>>,
+    pulse: watch::Sender<Option<PulseFrame>>,
+    hello: watch::Receiver<Hello>,
 }
 
 /// Connects to the leader at `addr`.
@@ -88,7 +90,7 @@
 /// # Errors
 ///
 /// The address declines, or nothing comes back.
-pub(super) async fn open(addr: &str) -> Result<(Link, Wire), Lost> {
+pub(super) async fn open(addr: &str, hello: watch::Receiver<Hello>) -> Result<(Link, Wire), Lost> {
     let stream = match timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(Lost::Closed(error.to_string())),
@@ -103,6 +105,7 @@
         framed: Framed::new(stream, codec()),
         rx,
         pulse: pulse_tx,
+        hello,
     };
     Ok((Link { tx, pulse }, wire))
 }
@@ -110,13 +113,13 @@
 impl Wire {
     /// Carries calls and replies until the connection is lost.
     pub(super) async fn run(mut self) -> Lost {
-        let mut waiting: HashMap<u64, oneshot::Sender<Reply>> = HashMap::new();
+        let mut waiting: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
         let mut last_id = 0;
         let mut heard = Instant::now();
-        let mut beat = tokio::time::interval(Duration::from_millis(PULSE_MS));
-        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let silence = Duration::from_millis(SILENT_MS);
+        let mut beat = Instant::now();
+        self.hello.mark_changed();
         loop {
+            let (pulse, silence) = self.pace();
             let frame = tokio::select! {
                 next = self.framed.next() => match next {
                     Some(Ok(bytes)) => {
@@ -136,12 +139,15 @@
                         ..Frame::default()
                     }
                 }
-                _ = beat.tick() => {
+                () = sleep_until(beat) => {
                     if heard.elapsed() > silence {
                         return Lost::Silent;
                     }
+                    beat = Instant::now() + pulse;
                     waiting.retain(|_, tx| !tx.is_closed());
-                    Frame::default()
+                    let changed = self.hello.has_changed().unwrap_or(false);
+                    let hello = changed.then(|| self.hello.borrow_and_update().clone());
+                    Frame { hello, ..Frame::default() }
                 }
             };
             let bytes = Bytes::from(frame.encode_to_vec());
@@ -153,7 +159,18 @@
         }
     }
 
-    fn received(&self, bytes: &[u8], waiting: &mut HashMap<u64, oneshot::Sender<Reply>>) {
+    /// Returns the time between two signs of life, and the silence that ends the connection.
+    fn pace(&self) -> (Duration, Duration) {
+        let deputy = self.pulse.borrow().is_some_and(|pulse| pulse.deputy);
+        let (pulse, silence) = if deputy {
+            (DEPUTY_PULSE_MS, DEPUTY_SILENT_MS)
+        } else {
+            (PULSE_MS, SILENT_MS)
+        };
+        (Duration::from_millis(pulse), Duration::from_millis(silence))
+    }
+
+    fn received(&self, bytes: &[u8], waiting: &mut HashMap<u64, oneshot::Sender<Answer>>) {
         let frame = match Frame::decode(bytes) {
             Ok(frame) => frame,
             Err(error) => {
@@ -166,7 +183,7 @@
         }
         let Some(reply) = frame.reply else { return };
         if let Some(tx) = waiting.remove(&frame.id)
-            && tx.send(Reply::from(reply)).is_err()
+            && tx.send(Answer::from(reply)).is_err()
         {
             log::debug!("a caller left before its reply");
         }
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -1,12 +1,13 @@
 //! Runs the scheduler on a VM: elects the leader, relays calls to it, stores what it decides.
 
-mod area;
 mod engine;
 mod frame;
 mod hands;
 mod lead;
 mod link;
+mod load;
 mod relay;
+mod retry;
 mod watch;
 
 use super::event::Call;
@@ -19,6 +20,9 @@
 use crate::prelude::*;
 use engine::Engine;
 use link::Link;
+use load::Loading;
+use retry::Attempts;
+use retry::Verdict;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch as channel;
@@ -28,7 +32,7 @@
 
 /// How long a call waits for a leader to be found before it is refused, in milliseconds: an
 /// election takes less unless the store is away.
-const LEADERLESS_MS: u64 = 1_200;
+const LEADERLESS_MS: u64 = 1_500;
 /// `Retry-After` where no leader is found, in milliseconds.
 const LEADERLESS_WAIT_MS: u64 = 400;
 
@@ -37,6 +41,10 @@
 pub struct Parts {
     /// The VM's name.
     pub name: Name,
+    /// Its data centre.
+    pub centre: Name,
+    /// Its share of a processor, in thousandths of a core.
+    pub cpu_milli: u64,
     /// Where other VMs reach this one.
     pub peer_addr: SocketAddr,
     /// The store.
@@ -56,11 +64,20 @@
     pub config_fresh_ms: u64,
     /// A number that no other start of any VM has.
     pub boot: u64,
-    /// How long this VM waits before it claims a vacant lead, in milliseconds: VMs with more
-    /// processor wait less.
-    pub claim_delay_ms: u64,
 }
 
+/// Why a call has no reply of a leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Missed {
+    /// No leader has had it; nothing took effect.
+    Declined,
+    /// Whether it took effect is not known.
+    Lost,
+}
+
+/// The reply of a leader, if there is one.
+type Answer = std::result::Result<Reply, Missed>;
+
 /// Who answers calls, as this VM sees it.
 #[derive(Debug, Clone)]
 enum Desk {
@@ -68,10 +85,24 @@
     None,
     /// Nobody that is known, and the store, which would tell, is out of reach.
     Lost,
-    /// This VM.
-    Here(Engine),
-    /// Another VM.
-    There(Link),
+    /// This VM, once it has loaded.
+    Loading(Loading),
+    /// This VM, in this epoch.
+    Here(Engine, u64),
+    /// Another VM, in this epoch.
+    There(Link, u64),
+}
+
+impl Desk {
+    fn describe(&self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Lost => "lost",
+            Self::Loading(_) => "loading",
+            Self::Here(..) => "here",
+            Self::There(..) => "elsewhere",
+        }
+    }
 }
 
 /// A running host.
@@ -98,8 +129,9 @@
 pub async fn spawn(parts: Parts) -> std::io::Result<Host> {
     let (desk_tx, desk) = channel::channel(Desk::None);
     let (leaving, leaving_rx) = channel::channel(false);
-    let relay = relay::bind(parts.peer_addr, desk.clone()).await?;
-    let lead = tokio::spawn(lead::run(parts, desk_tx, leaving_rx, relay.heard.clone()));
+    let (boot, milli) = (parts.boot, parts.cpu_milli);
+    let relay = relay::bind(parts.peer_addr, desk.clone(), boot, milli).await?;
+    let lead = tokio::spawn(lead::run(parts, desk_tx, leaving_rx, relay.shared.clone()));
     Ok(Host {
         desk,
         leaving,
@@ -114,12 +146,7 @@
         let path = what.path.clone();
         let reply = self.ask(what, left_ms).await;
         if let Reply::Unavailable { .. } | Reply::Unknown = reply {
-            let leader = match &*self.desk.borrow() {
-                Desk::None => "none",
-                Desk::Lost => "lost",
-                Desk::Here(_) => "here",
-                Desk::There(_) => "elsewhere",
-            };
+            let leader = self.desk.borrow().describe();
             log::info!(
                 "TG1204 call path={path} reply={reply:?} leader={leader} after_ms={}",
                 started.elapsed().as_millis()
@@ -128,28 +155,45 @@
         reply
     }
 
+    /// Passes a call to the leader; again, if the leader is lost, to the next one.
     async fn ask(&self, what: Call, left_ms: u64) -> Reply {
         let deadline = Instant::now() + Duration::from_millis(left_ms);
         let mut desk = self.desk.clone();
+        let mut attempts = Attempts::new(&what.ask);
         let patience = Duration::from_millis(LEADERLESS_MS.min(left_ms / 2));
-        let known = timeout_at(
-            Instant::now() + patience,
-            desk.wait_for(|desk| !matches!(desk, Desk::None)),
-        );
-        let found = match known.await {
-            Ok(Ok(desk)) => desk.clone(),
-            _ => Desk::None,
-        };
-        let answer = match found {
-            Desk::None | Desk::Lost => {
-                return Reply::Unavailable {
-                    wait_ms: LEADERLESS_WAIT_MS,
-                };
+        loop {
+            let until = deadline.min(Instant::now() + patience);
+            let known = desk.wait_for(|desk| !matches!(desk, Desk::None | Desk::Loading(_)));
+            let found = match timeout_at(until, known).await {
+                Ok(Ok(desk)) => desk.clone(),
+                _ => Desk::None,
+            };
+            let (epoch, answer) = match found {
+                Desk::Here(engine, epoch) => {
+                    (epoch, timeout_at(deadline, engine.call(what.clone())).await)
+                }
+                Desk::There(link, epoch) => {
+                    (epoch, timeout_at(deadline, link.call(what.clone())).await)
+                }
+                Desk::None | Desk::Lost | Desk::Loading(_) => return attempts.give_up(),
+            };
+            let Ok(answer) = answer else {
+                return Reply::Unknown;
+            };
+            match attempts.judge(epoch, answer) {
+                Verdict::Final(reply) => return reply,
+                Verdict::Again => {
+                    log::info!(
+                        "TG1208 call path={} epoch={epoch} missed its leader, waits for the next",
+                        what.path
+                    );
+                    let until = deadline.min(Instant::now() + patience);
+                    if !matches!(timeout_at(until, desk.changed()).await, Ok(Ok(()))) {
+                        return attempts.give_up();
+                    }
+                }
             }
-            Desk::Here(engine) => timeout_at(deadline, engine.call(what)).await,
-            Desk::There(link) => timeout_at(deadline, link.call(what)).await,
-        };
-        answer.unwrap_or(Reply::Unknown)
+        }
     }
 
     /// Tells whether this VM answers calls.
@@ -158,9 +202,9 @@
             return false;
         }
         match &*self.desk.borrow() {
-            Desk::None | Desk::Lost => false,
-            Desk::Here(engine) => engine.is_ready(),
-            Desk::There(link) => link.is_ready(),
+            Desk::None | Desk::Lost | Desk::Loading(_) => false,
+            Desk::Here(engine, _) => engine.is_ready(),
+            Desk::There(link, _) => link.is_ready(),
         }
     }
 
--- /dev/null
+++ b/src/fleet/load.rs
@@ -0,0 +1,70 @@
+//! Reads the stored rows into a scheduler, part by part.
+
+use super::row::JobRow;
+use super::row::Row;
+use super::row::StateRow;
+use super::row::WaveRow;
+use super::scheduler::Scheduler;
+use super::task::Job;
+use super::timing::Timing;
+use prost::Message;
+use std::collections::HashMap;
+
+/// The result of reading rows.
+pub type Result<T> = std::result::Result<T, String>;
+
+/// Rows that were decoded so far.
+#[derive(Debug, Default)]
+pub struct Loader {
+    jobs: Vec<(String, JobRow)>,
+    states: HashMap<String, StateRow>,
+    waves: Vec<(u64, WaveRow)>,
+}
+
+impl Loader {
+    /// Decodes rows.
+    ///
+    /// # Errors
+    ///
+    /// Names the first row that cannot be decoded.
+    pub fn take(&mut self, rows: Vec<Row>) -> Result<()> {
+        for row in rows {
+            let bad = |error| format!("row {}: {error}", row.key);
+            if let Some(id) = row.key.strip_prefix("s.") {
+                let state = StateRow::decode(&*row.value).map_err(bad)?;
+                self.states.insert(id.to_owned(), state);
+            } else if let Some(id) = row.key.strip_prefix("j.") {
+                let job = JobRow::decode(&*row.value).map_err(bad)?;
+                self.jobs.push((id.to_owned(), job));
+            } else if let Some(wave) = row.key.strip_prefix("w.") {
+                let state = WaveRow::decode(&*row.value).map_err(bad)?;
+                let number = wave
+                    .parse()
+                    .map_err(|error| format!("row {}: {error}", row.key))?;
+                self.waves.push((number, state));
+            }
+        }
+        Ok(())
+    }
+
+    /// Makes the scheduler; `inherited_ms` is how long, from `now`, a lease that another VM asked
+    /// for may yet run.
+    pub fn finish(
+        mut self,
+        timing: Timing,
+        now: u64,
+        wall_ms: u64,
+        inherited_ms: u64,
+    ) -> Scheduler {
+        let mut scheduler = Scheduler::new(timing, now, wall_ms);
+        for (number, state) in self.waves {
+            scheduler.upkeep.load(number, state);
+        }
+        for (id, row) in self.jobs {
+            let state = self.states.remove(&id).unwrap_or_default();
+            let job = Job::load(&id, row, state, now, wall_ms);
+            scheduler.adopt(job, now, now + inherited_ms);
+        }
+        scheduler
+    }
+}
--- a/src/fleet/ports.rs
+++ b/src/fleet/ports.rs
@@ -77,6 +77,17 @@
     pub end: Offset,
 }
 
+/// A part of the newest rows, in the order of their keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// The end of the area when they were read.
+    pub end: Offset,
+    /// Whether there are rows after these.
+    pub more: bool,
+}
+
 /// What was read since the last time.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Feed<T> {
@@ -117,18 +128,46 @@
 
 /// The fenced store of rows, the operators' configuration and the discovery of upstreams.
 pub trait Store: Send + Sync + Debug {
-    /// Reads the newest row of each key.
+    /// Reads the newest row of each key after `after`, as many as the store gives at once.
     ///
     /// # Errors
     ///
     /// The store declined, or did not respond.
-    fn newest(&self, area: Area) -> Wait<'_, Result<Rows>>;
+    fn page<'a>(&'a self, area: Area, after: &'a str) -> Wait<'a, Result<Page>>;
+
+    /// Reads the newest row of each key. Rows that come meanwhile are read again from
+    /// [`Rows::end`] on.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::page`].
+    fn newest(&self, area: Area) -> Wait<'_, Result<Rows>> {
+        Box::pin(async move {
+            let mut all = Rows {
+                rows: Vec::new(),
+                end: 0,
+            };
+            let mut after = String::new();
+            loop {
+                let page = self.page(area, &after).await?;
+                if after.is_empty() {
+                    all.end = page.end;
+                }
+                let last = page.rows.last().map(|row| row.key.clone());
+                all.rows.extend(page.rows);
+                match last {
+                    Some(last) if page.more => after = last,
+                    _ => return Ok(all),
+                }
+            }
+        })
+    }
 
     /// Reads rows from `from` on, waiting up to `wait_ms` for a first one.
     ///
     /// # Errors
     ///
-    /// As [`Store::newest`]; [`Error::Moved`] if rows from there on were dropped.
+    /// As [`Store::page`]; [`Error::Moved`] if rows from there on were dropped.
     fn read(&self, area: Area, from: Offset, wait_ms: u64) -> Wait<'_, Result<Rows>>;
 
     /// Appends rows, all or none.
@@ -144,7 +183,7 @@
     ///
     /// # Errors
     ///
-    /// As [`Store::newest`].
+    /// As [`Store::page`].
     fn directives(&self, from: Option<Offset>, wait_ms: u64) -> Wait<'_, Result<Feed<Directive>>>;
 
     /// Tells the operators whether a wave is completed or under way.
@@ -158,7 +197,7 @@
     ///
     /// # Errors
     ///
-    /// As [`Store::newest`].
+    /// As [`Store::page`].
     fn sightings(&self, from: Option<Offset>) -> Wait<'_, Result<Feed<Sighting>>>;
 }
 
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -8,14 +8,12 @@
 use super::event::Reading;
 use super::event::Reply;
 use super::learn::Durations;
+use super::load::Loader;
 use super::model::Config;
 use super::model::RunId;
 use super::model::Step;
 use super::model::TaskId;
-use super::row::JobRow;
 use super::row::Row;
-use super::row::StateRow;
-use super::row::WaveRow;
 use super::row::job_key;
 use super::row::state_key;
 use super::task::Job;
@@ -28,7 +26,6 @@
 use prost::Message;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 
 /// Waiting steps for each millisecond between two plans: planning takes a small part of the time
 /// even on an eighth of a core.
@@ -97,6 +94,13 @@
         wall_ms: u64,
         inherited_ms: u64,
     ) -> Result<Self, String> {
+        let mut loader = Loader::default();
+        loader.take(rows)?;
+        Ok(loader.finish(timing, now, wall_ms, inherited_ms))
+    }
+
+    /// Makes the state of a VM that knows nothing.
+    pub(super) fn new(timing: Timing, now: u64, wall_ms: u64) -> Self {
         let mut scheduler = Self {
             timing,
             config: None,
@@ -121,33 +125,11 @@
             wall_offset: 0,
         };
         scheduler.set_wall(now, wall_ms);
-        let mut states = HashMap::new();
-        let mut fixed = Vec::new();
-        for row in rows {
-            let bad = |error| format!("row {}: {error}", row.key);
-            if let Some(id) = row.key.strip_prefix("s.") {
-                let state = StateRow::decode(&*row.value).map_err(bad)?;
-                states.insert(id.to_owned(), state);
-            } else if let Some(id) = row.key.strip_prefix("j.") {
-                let job = JobRow::decode(&*row.value).map_err(bad)?;
-                fixed.push((id.to_owned(), job));
-            } else if let Some(wave) = row.key.strip_prefix("w.") {
-                let state = WaveRow::decode(&*row.value).map_err(bad)?;
-                let number = wave
-                    .parse()
-                    .map_err(|error| format!("row {}: {error}", row.key))?;
-                scheduler.upkeep.load(number, state);
-            }
-        }
-        for (id, row) in fixed {
-            let state = states.remove(&id).unwrap_or_default();
-            let job = Job::load(&id, row, state, now, wall_ms);
-            scheduler.adopt(job, now, now + inherited_ms);
-        }
-        Ok(scheduler)
+        scheduler
     }
 
-    fn adopt(&mut self, job: Job, now: u64, lease_end: u64) {
+    /// Takes over a job that was stored; leases on its runs end at `lease_end` at the latest.
+    pub(super) fn adopt(&mut self, job: Job, now: u64, lease_end: u64) {
         for place in job.live() {
             let Some(live) = job.task(place).and_then(|task| task.live.as_ref()) else {
                 continue;
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -23,6 +23,7 @@
 use trefoilgauge::fleet::ports::Error;
 use trefoilgauge::fleet::ports::Feed;
 use trefoilgauge::fleet::ports::HoldOrder;
+use trefoilgauge::fleet::ports::Page;
 use trefoilgauge::fleet::ports::Result;
 use trefoilgauge::fleet::ports::Rows;
 use trefoilgauge::fleet::ports::Sighting;
@@ -52,7 +53,7 @@
 }
 
 impl Store for Away {
-    fn newest(&self, _: Area) -> Wait<'_, Result<Rows>> {
+    fn page<'a>(&'a self, _: Area, _: &'a str) -> Wait<'a, Result<Page>> {
         self.call()
     }
 
@@ -102,6 +103,8 @@
 async fn spawn(store: Arc<Away>) -> Host {
     let parts = Parts {
         name: "vm-1".into(),
+        centre: "coast-1".into(),
+        cpu_milli: 1_000,
         peer_addr: "127.0.0.1:0".parse().unwrap(),
         store,
         upstreams: Arc::new(Nobody),
@@ -119,7 +122,6 @@
         config_age_ms: 3_000,
         config_fresh_ms: 1_200,
         boot: 1,
-        claim_delay_ms: 0,
     };
     host::spawn(parts).await.unwrap()
 }
