feat(fleet): place work where failures are unlikely, and shorten a change of the leader

Change: the configuration and discovery are part of loading; no stop for urgent work until 90% of the inherited upstreams have reported (0.6 s at most); submissions of which no row was sent are withdrawn after 1 s and refused truthfully; upstreams are ranked by their fading failures, and work that has failed goes only to proved ones for a while; deputies notice silence by unanswered signs of life (0.42 s); a host ends its tasks with itself.

--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -82,6 +82,7 @@
         let mut index = HashMap::with_capacity(self.upstreams.len());
         let mut ending = HashMap::new();
         let (mut used, mut room) = (0, 0);
+        let alarm = self.ends.is_alarming(now);
         for (name, upstream) in &self.upstreams {
             if !upstream.listed {
                 continue;
@@ -100,6 +101,7 @@
                 free: upstream.free(),
                 room: upstream.listing.room,
                 open: upstream.is_open(now),
+                risk: upstream.health.risk(now, alarm),
             });
         }
         let racks = Racks::new(&spots);
--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -9,6 +9,7 @@
 use super::model::Spec;
 use super::model::Workspace;
 use super::scheduler::Scheduler;
+use super::scheduler::run_id;
 use super::task::Job;
 use crate::prelude::*;
 use std::collections::BTreeMap;
@@ -145,6 +146,27 @@
         Reply::Accepted
     }
 
+    /// Forgets a job of which nothing was stored or ordered.
+    pub(super) fn withdraw(&mut self, id: &Name) {
+        let Some(job) = self.jobs.remove(id) else {
+            return;
+        };
+        for place in job.live() {
+            let Some(live) = job.task(place).and_then(|task| task.live.as_ref()) else {
+                continue;
+            };
+            if let Some(upstream) = self.upstreams.get_mut(&live.at) {
+                upstream.release(&run_id(id, place, live.number));
+            }
+        }
+        self.open.remove(id);
+        self.pending.remove(id);
+        self.timed.remove(id);
+        self.dirty.remove(id);
+        self.advice.forget(id);
+        self.changed = true;
+    }
+
     fn cancel(&mut self, now: u64, id: &Name) -> Reply {
         let Some(job) = self.jobs.get(id) else {
             return Reply::Gone;
--- a/src/fleet/election/mod.rs
+++ b/src/fleet/election/mod.rs
@@ -44,7 +44,7 @@
 const LOAD_MS: u64 = 5_000;
 /// The least time that a doubted leader has for its answer, in milliseconds: it may be at work on
 /// a plan or load.
-const ANSWER_MS: u64 = 300;
+const ANSWER_MS: u64 = 250;
 /// How many times the duration of its own append a VM waits for the leader's answer.
 const ANSWER_APPENDS: u64 = 4;
 /// The longest wait for an answer, in milliseconds: two appends of a slow store.
@@ -778,7 +778,7 @@
         if lead.is_doubted() {
             let since = *follow.doubted_at.get_or_insert(now);
             self.claim(now, since + self.answer_ms);
-        } else if !self.writing && now >= self.next_write {
+        } else if !self.writing && !self.stale && now >= self.next_write {
             log::info!(
                 "TG1316 leader={} epoch={} doubted",
                 follow.row.name,
--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -4,6 +4,7 @@
 use super::event::Phase;
 use super::event::Report;
 use super::gauge;
+use super::health;
 use super::model::How;
 use super::model::RunId;
 use super::scheduler::Scheduler;
@@ -130,8 +131,10 @@
     }
 
     pub(super) fn done(&mut self, now: u64, at: &Name, run: &RunId, live: &Live) {
+        self.ends.done(now);
         if let Some(upstream) = self.upstreams.get_mut(at) {
             upstream.failed.clear();
+            upstream.health.done(now);
             upstream.quarantines = 0;
         }
         let place = place_of(&run.task);
@@ -225,9 +228,13 @@
 
     /// Counts a failure against an upstream, and shuts it if several jobs failed there in a row.
     pub(super) fn blame(&mut self, now: u64, at: &Name, job: &Name) {
+        let earlier = self.jobs.get(job).map_or(0, Job::failures);
         let Some(upstream) = self.upstreams.get_mut(at) else {
             return;
         };
+        let blame = health::blame(earlier);
+        upstream.health.fail(now, blame);
+        self.ends.fail(now, blame);
         if !upstream.failed.contains(job) {
             upstream.failed.push(job.clone());
         }
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -213,6 +213,8 @@
 /// What the scheduler is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
+    /// A job's rows will never be stored: it was not accepted, and never runs.
+    Withdrawn(Name),
     /// A caller calls; `call` names it in the response.
     Called {
         /// Names the call in the reply.
--- a/src/fleet/evict.rs
+++ b/src/fleet/evict.rs
@@ -57,7 +57,10 @@
             let looks = cell.len().saturating_mul(request.count as usize);
             let members =
                 (looks <= MAX_LOOKS).then(|| by_member(victims, request, &cell, rooms.clone()));
-            [by_waste(victims, request, &cell, rooms), members.flatten()]
+            [
+                by_waste(spots, victims, request, &cell, rooms),
+                members.flatten(),
+            ]
         })
         .flatten()
         .min_by(|a, b| a.0.total_cmp(&b.0))
@@ -82,13 +85,14 @@
 /// Stops the cheapest work of the cell until the gang fits: finds room that many stops make
 /// together.
 fn by_waste(
+    spots: &[Spot],
     victims: &Victims,
     request: &Request<'_>,
     cell: &[usize],
     mut rooms: Rooms,
 ) -> Option<(f64, Eviction)> {
     let place = |rooms: &Rooms| {
-        fill(cell, request.wish, request.count, |at| {
+        fill(spots, cell, request.wish, request.count, |at| {
             rooms.get(&at).copied()
         })
     };
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -4,7 +4,9 @@
 use super::Answer;
 use super::Missed;
 use super::Parts;
+use super::STALLED_WAIT_MS;
 use super::hands::Hands;
+use super::withdraw::withdraw;
 use crate::fleet::Effect;
 use crate::fleet::Event;
 use crate::fleet::clock::boot_ms;
@@ -48,8 +50,6 @@
 pub(super) const ORDERS_MS: u64 = 7_000;
 /// The time that an append may take before new jobs are refused, in milliseconds.
 const STALLED_MS: u64 = 1_000;
-/// `Retry-After` while the store does not respond, in milliseconds.
-const STALLED_WAIT_MS: u64 = 700;
 /// The most bytes of one append: half of what the store takes.
 const APPEND_BYTES: usize = 1_000_000;
 /// What a row takes beside its key and value, in bytes.
@@ -140,14 +140,23 @@
     parts: Parts,
     epoch: u64,
     sequence: u64,
-    /// Who waits for a reply, and since when, own time.
-    callers: HashMap<u64, (oneshot::Sender<Reply>, u64)>,
+    callers: HashMap<u64, Caller>,
     last_call: u64,
     rows: Vec<Row>,
     gated: Vec<Effect>,
     resigned: Option<String>,
 }
 
+/// Who waits for a reply.
+#[derive(Debug)]
+struct Caller {
+    tx: oneshot::Sender<Reply>,
+    /// Since when, own time.
+    since: u64,
+    /// The job that the call submits, if it does.
+    job: Option<Name>,
+}
+
 /// An append under way.
 struct Append {
     done: oneshot::Receiver<Result<u64, Error>>,
@@ -156,11 +165,18 @@
     effects: Vec<Effect>,
 }
 
-/// Makes the engine of a leader that has written `sequence` appends of its epoch.
-pub(super) fn new(parts: Parts, scheduler: Scheduler, epoch: u64, sequence: u64) -> (Engine, Desk) {
+/// Makes the engine of a leader that has read the configuration at `config_at`, own time.
+pub(super) fn new(
+    parts: Parts,
+    scheduler: Scheduler,
+    epoch: u64,
+    config_at: u64,
+) -> (Engine, Desk) {
     let (tx, rx) = mpsc::channel(MAX_QUEUED);
     let gauges = Arc::new(Gauges::default());
     gauges.proven_at.store(boot_ms(), Ordering::Relaxed);
+    gauges.config_at.store(config_at, Ordering::Relaxed);
+    gauges.ready.store(scheduler.is_ready(), Ordering::Relaxed);
     let engine = Engine {
         tx: tx.clone(),
         gauges: gauges.clone(),
@@ -172,7 +188,7 @@
         scheduler,
         parts,
         epoch,
-        sequence,
+        sequence: 0,
         callers: HashMap::new(),
         last_call: 0,
         rows: Vec::new(),
@@ -220,6 +236,9 @@
                     }
                 }
                 _ = tick.tick() => {
+                    if append.as_ref().is_some_and(|a| boot_ms() > a.since + STALLED_MS) {
+                        self.withdraw();
+                    }
                     let (open, all, silent) = self.scheduler.counts();
                     gauge::state(age(&self.gauges.config_at), open, all, silent);
                 }
@@ -246,6 +265,34 @@
         }
     }
 
+    /// Refuses submissions of which nothing was sent while the store does not respond.
+    fn withdraw(&mut self) {
+        let job_of = |call| {
+            self.callers
+                .get(&call)
+                .and_then(|caller| caller.job.clone())
+        };
+        for job in withdraw(&mut self.rows, &mut self.gated, job_of) {
+            log::info!("TG1209 job={job} withdrawn: the store does not respond, nothing was sent");
+            self.scheduler.step(boot_ms(), Event::Withdrawn(job));
+        }
+        let (replies, rest) = std::mem::take(&mut self.gated)
+            .into_iter()
+            .partition(|effect| {
+                matches!(
+                    effect,
+                    Effect::Reply {
+                        reply: Reply::Unavailable { .. },
+                        ..
+                    }
+                )
+            });
+        self.gated = rest;
+        for effect in replies {
+            self.carry(effect);
+        }
+    }
+
     fn take(&mut self, input: Input, stalled: bool) {
         let now = boot_ms();
         match input {
@@ -260,7 +307,12 @@
                     return;
                 }
                 self.last_call += 1;
-                self.callers.insert(self.last_call, (tx, now));
+                let caller = Caller {
+                    tx,
+                    since: now,
+                    job: submitted(&what),
+                };
+                self.callers.insert(self.last_call, caller);
                 let call = self.last_call;
                 self.scheduler.step(now, Event::Called { call, what });
             }
@@ -375,7 +427,7 @@
     }
 
     fn answer(&mut self, call: u64, reply: Reply) {
-        let Some((tx, since)) = self.callers.remove(&call) else {
+        let Some(Caller { tx, since, .. }) = self.callers.remove(&call) else {
             return;
         };
         let absent = matches!(reply, Reply::Gone | Reply::Waiting(_));
@@ -393,6 +445,12 @@
     }
 }
 
+/// Returns the job that a call submits, if it does.
+fn submitted(what: &Call) -> Option<Name> {
+    let id = what.path.rsplit('/').next()?;
+    matches!(what.ask, Ask::Submit(_)).then(|| id.into())
+}
+
 async fn wait_for(append: &mut Option<Append>) -> Result<u64, Error> {
     match append {
         Some(append) => match (&mut append.done).await {
--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -9,10 +9,10 @@
 use super::link;
 use super::link::Link;
 use super::load;
+use super::load::Loaded;
 use super::load::Loading;
 use super::relay::Shared;
 use super::watch;
-use crate::fleet::Scheduler;
 use crate::fleet::clock::steady_ms;
 use crate::fleet::election::Action;
 use crate::fleet::election::Candidate;
@@ -115,7 +115,7 @@
 enum Told {
     Input(Input),
     Linked(Link, u64),
-    Loaded(Result<Box<Scheduler>, String>),
+    Loaded(Result<Box<Loaded>, String>),
     Ended(String),
 }
 
@@ -136,6 +136,14 @@
     next_look: u64,
 }
 
+impl Drop for Voter {
+    fn drop(&mut self) {
+        for (_, task) in self.tasks.values() {
+            task.abort();
+        }
+    }
+}
+
 impl Voter {
     fn wake_at(&self) -> Instant {
         let now = steady_ms();
@@ -194,7 +202,7 @@
                 self.link = Some((link, epoch));
                 self.handle(Input::Connected);
             }
-            Told::Loaded(Ok(scheduler)) => self.lead(*scheduler),
+            Told::Loaded(Ok(loaded)) => self.lead(*loaded),
             Told::Loaded(Err(why)) => {
                 log::warn!("TG1306 the lead cannot be taken: {why}");
                 self.desk.send_replace(Desk::None);
@@ -368,16 +376,26 @@
     }
 
     /// Leads with what was loaded.
-    fn lead(&mut self, scheduler: Scheduler) {
+    fn lead(&mut self, loaded: Loaded) {
         let Desk::Loading(loading) = self.desk.borrow().clone() else {
             return;
         };
         let epoch = loading.epoch;
-        let (engine, desk) = engine::new(self.parts.clone(), scheduler, epoch, 0);
+        let Loaded {
+            scheduler,
+            config_at,
+            directives,
+            discovery,
+        } = loaded;
+        let (engine, desk) = engine::new(self.parts.clone(), scheduler, epoch, config_at);
         let (store, told) = (self.parts.store.clone(), engine.clone());
-        self.start(Kind::Configs, |_| watch::directives(store, told));
+        self.start(Kind::Configs, |_| {
+            watch::directives(store, told, directives)
+        });
         let (store, told) = (self.parts.store.clone(), engine.clone());
-        self.start(Kind::Sightings, |_| watch::sightings(store, told));
+        self.start(Kind::Sightings, |_| {
+            watch::sightings(store, told, discovery)
+        });
         self.start(Kind::Engine, |teller| async move {
             let why = desk.run().await;
             teller.tell(Told::Ended(why)).await;
--- a/src/fleet/host/link.rs
+++ b/src/fleet/host/link.rs
@@ -25,10 +25,10 @@
 use tokio_util::codec::Framed;
 
 /// The time between two signs of life of a deputy, in milliseconds.
-const DEPUTY_PULSE_MS: u64 = 150;
+const DEPUTY_PULSE_MS: u64 = 120;
 /// The silence after which a deputy gives a connection up, in milliseconds: a leader with an eighth
 /// of a core answers within three signs of life.
-const DEPUTY_SILENT_MS: u64 = 550;
+const DEPUTY_SILENT_MS: u64 = 420;
 /// The time between two signs of life of other VMs, in milliseconds: the leader answers hundreds.
 const PULSE_MS: u64 = 500;
 /// The silence after which other VMs give a connection up, in milliseconds.
@@ -115,7 +115,8 @@
     pub(super) async fn run(mut self) -> Lost {
         let mut waiting: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
         let mut last_id = 0;
-        let mut heard = Instant::now();
+        // When the oldest sign of life that has no answer was sent.
+        let mut asked: Option<Instant> = None;
         let mut beat = Instant::now();
         self.hello.mark_changed();
         loop {
@@ -123,8 +124,10 @@
             let frame = tokio::select! {
                 next = self.framed.next() => match next {
                     Some(Ok(bytes)) => {
-                        heard = Instant::now();
-                        self.received(&bytes, &mut waiting);
+                        asked = None;
+                        if self.received(&bytes, &mut waiting) {
+                            beat = Instant::now();
+                        }
                         continue;
                     }
                     Some(Err(error)) => return Lost::Closed(error.to_string()),
@@ -140,10 +143,12 @@
                     }
                 }
                 () = sleep_until(beat) => {
-                    if heard.elapsed() > silence {
+                    if asked.is_some_and(|asked| asked.elapsed() > silence) {
                         return Lost::Silent;
                     }
-                    beat = Instant::now() + pulse;
+                    let now = Instant::now();
+                    asked.get_or_insert(now);
+                    beat = now + pulse;
                     waiting.retain(|_, tx| !tx.is_closed());
                     let changed = self.hello.has_changed().unwrap_or(false);
                     let hello = changed.then(|| self.hello.borrow_and_update().clone());
@@ -170,22 +175,28 @@
         (Duration::from_millis(pulse), Duration::from_millis(silence))
     }
 
-    fn received(&self, bytes: &[u8], waiting: &mut HashMap<u64, oneshot::Sender<Answer>>) {
+    /// Handles a frame; returns whether this VM has just become a deputy.
+    fn received(&self, bytes: &[u8], waiting: &mut HashMap<u64, oneshot::Sender<Answer>>) -> bool {
         let frame = match Frame::decode(bytes) {
             Ok(frame) => frame,
             Err(error) => {
                 log::warn!("TG1312 a frame of the leader cannot be read: {error}");
-                return;
+                return false;
             }
         };
+        let mut promoted = false;
         if let Some(pulse) = frame.pulse {
-            self.pulse.send_replace(Some(pulse));
+            let before = self.pulse.send_replace(Some(pulse));
+            promoted = pulse.deputy && before.is_none_or(|before| !before.deputy);
         }
-        let Some(reply) = frame.reply else { return };
+        let Some(reply) = frame.reply else {
+            return promoted;
+        };
         if let Some(tx) = waiting.remove(&frame.id)
             && tx.send(Answer::from(reply)).is_err()
         {
             log::debug!("a caller left before its reply");
         }
+        promoted
     }
 }
--- a/src/fleet/host/load.rs
+++ b/src/fleet/host/load.rs
@@ -2,6 +2,7 @@
 
 use super::Parts;
 use super::engine;
+use super::watch::Discovery;
 use crate::fleet::Scheduler;
 use crate::fleet::clock::boot_ms;
 use crate::fleet::clock::wall_ms;
@@ -42,12 +43,23 @@
     }
 }
 
-/// Fences earlier leaders, then reads what they stored and the configuration.
+/// What a VM begins to lead with.
+#[derive(Debug)]
+pub(super) struct Loaded {
+    pub(super) scheduler: Scheduler,
+    /// When the configuration was read, own time.
+    pub(super) config_at: u64,
+    /// Where the operators' records are read on.
+    pub(super) directives: Offset,
+    pub(super) discovery: Discovery,
+}
+
+/// Fences earlier leaders, then reads what they stored, the configuration and discovery.
 ///
 /// # Errors
 ///
 /// The store fails, or names a row that cannot be decoded.
-pub(super) async fn load(parts: &Parts, loading: &Loading) -> Result<Scheduler, String> {
+pub(super) async fn load(parts: &Parts, loading: &Loading) -> Result<Loaded, String> {
     let start = boot_ms();
     let text = |error: Error| error.to_string();
     let store = &*parts.store;
@@ -72,7 +84,9 @@
         }
     }
     let rows_ms = boot_ms().saturating_sub(start);
-    let feed = store.directives(None, 0).await.map_err(text)?;
+    let config_at = boot_ms();
+    let (feed, sightings) = tokio::join!(store.directives(None, 0), store.sightings(None));
+    let feed = feed.map_err(text)?;
     loading.reach();
     let inherited = engine::ORDERS_MS + Timing::slowest(parts.timing.lease_ms());
     let (now, wall) = (boot_ms(), wall_ms());
@@ -80,11 +94,26 @@
     for directive in feed.items {
         scheduler.step(now, directive.into());
     }
+    let mut discovery = Discovery::default();
+    match sightings {
+        Ok(feed) => {
+            for event in discovery.apply(feed) {
+                scheduler.step(now, event);
+            }
+        }
+        // It is followed from the start then.
+        Err(error) => log::warn!("TG1318 discovery cannot be read while loading: {error}"),
+    }
     log::info!(
         "TG1317 epoch={} loaded jobs={} rows_ms={rows_ms} all_ms={}",
         loading.epoch,
         scheduler.counts().0,
         boot_ms().saturating_sub(start)
     );
-    Ok(scheduler)
+    Ok(Loaded {
+        scheduler,
+        config_at,
+        directives: feed.next,
+        discovery,
+    })
 }
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -9,6 +9,7 @@
 mod relay;
 mod retry;
 mod watch;
+mod withdraw;
 
 use super::event::Call;
 use super::event::Reply;
@@ -36,6 +37,9 @@
 /// `Retry-After` where no leader is found, in milliseconds.
 const LEADERLESS_WAIT_MS: u64 = 400;
 
+/// `Retry-After` while the store does not respond, in milliseconds.
+const STALLED_WAIT_MS: u64 = 700;
+
 /// What a host is made of.
 #[derive(Debug, Clone)]
 pub struct Parts {
--- a/src/fleet/host/relay.rs
+++ b/src/fleet/host/relay.rs
@@ -24,6 +24,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
@@ -77,12 +78,15 @@
     let used = shared.clone();
     let task = tokio::spawn(async move {
         let mut connection = 0;
+        // Connections end with the listener.
+        let mut served = JoinSet::new();
         loop {
+            while served.try_join_next().is_some() {}
             match listener.accept().await {
                 Ok((stream, _)) => {
                     connection += 1;
                     let (desk, shared) = (desk.clone(), used.clone());
-                    tokio::spawn(async move {
+                    served.spawn(async move {
                         serve(stream, connection, desk, &shared).await;
                         shared.members().part(connection);
                     });
--- a/src/fleet/host/watch.rs
+++ b/src/fleet/host/watch.rs
@@ -21,9 +21,9 @@
 /// The wait after a failed read, in milliseconds.
 const AGAIN_MS: u64 = 200;
 
-/// Follows what the operators write until the engine ends.
-pub(super) async fn directives(store: Arc<dyn Store>, engine: Engine) {
-    let mut from = None;
+/// Follows what the operators write, from `next` on, until the engine ends.
+pub(super) async fn directives(store: Arc<dyn Store>, engine: Engine, next: Offset) {
+    let mut from = Some(next);
     let mut lost = false;
     loop {
         let sent = boot_ms();
@@ -50,19 +50,16 @@
     }
 }
 
-/// Follows discovery until the engine ends.
-pub(super) async fn sightings(store: Arc<dyn Store>, engine: Engine) {
-    let mut from = None;
-    let mut known = HashSet::new();
+/// Follows discovery, from what is known of it on, until the engine ends.
+pub(super) async fn sightings(store: Arc<dyn Store>, engine: Engine, mut discovery: Discovery) {
     let mut lost = false;
     loop {
-        match store.sightings(from).await {
+        match store.sightings(discovery.next).await {
             Ok(feed) => {
                 if std::mem::take(&mut lost) {
                     log::info!("TG1407 discovery is followed again");
                 }
-                from = Some(feed.next);
-                for event in events(feed, &mut known) {
+                for event in discovery.apply(feed) {
                     engine.tell(event).await;
                 }
                 tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
@@ -72,13 +69,30 @@
                 if !std::mem::replace(&mut lost, true) {
                     log::warn!("TG1406 discovery cannot be followed: {error}");
                 }
-                from = None;
+                discovery.next = None;
                 tokio::time::sleep(Duration::from_millis(AGAIN_MS)).await;
             }
         }
     }
 }
 
+/// What is known of discovery.
+#[derive(Debug, Default)]
+pub(super) struct Discovery {
+    /// Where it is read on; none for the start.
+    next: Option<Offset>,
+    /// Upstreams with an entry.
+    known: HashSet<Name>,
+}
+
+impl Discovery {
+    /// Applies what was read; returns what the scheduler is to be told.
+    pub(super) fn apply(&mut self, feed: Feed<Sighting>) -> Vec<Event> {
+        self.next = Some(feed.next);
+        events(feed, &mut self.known)
+    }
+}
+
 fn events(feed: Feed<Sighting>, known: &mut HashSet<Name>) -> Vec<Event> {
     let mut listed = Vec::new();
     let mut unlisted = Vec::new();
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -1,5 +1,6 @@
 //! Finds places for tasks: near their data, gangs on one rack, small tasks where little is left.
 
+use super::health::Risk;
 use super::model::Need;
 use super::model::Step;
 use crate::prelude::*;
@@ -23,6 +24,8 @@
     pub(super) room: Need,
     /// Whether it takes new work.
     pub(super) open: bool,
+    /// How likely it is to fail.
+    pub(super) risk: Risk,
 }
 
 impl Spot {
@@ -57,6 +60,8 @@
     pub(super) barred: Option<&'a HashSet<usize>>,
     /// Spots that may be used at all, if only some may.
     pub(super) only: Option<&'a HashSet<usize>>,
+    /// The greatest risk that will do.
+    pub(super) risk: Risk,
 }
 
 impl Wish<'_> {
@@ -78,11 +83,12 @@
             && self.only.is_none_or(|only| only.contains(&index))
             && spot.allows(self.service, self.step)
             && self.near(spot)
+            && spot.risk <= self.risk
             && !self.shuns.contains(&spot.name)
     }
 }
 
-/// Finds the place of a single task: the tightest one. `load` tells how many tasks of its step an
+/// Finds the place of a single task: the safest, then the tightest one. `load` tells how many tasks of its step an
 /// upstream has already.
 pub(super) fn single(
     spots: &[Spot],
@@ -95,7 +101,7 @@
         .enumerate()
         .filter(|(index, spot)| spot.open && need.fits(&spot.free) && wish.takes(*index, spot))
         .filter(|(_, spot)| wish.step.spread == 0 || load(&spot.name) < wish.step.spread)
-        .min_by_key(|(_, spot)| (spot.free.accelerators, spot.free.memory))
+        .min_by_key(|(_, spot)| (spot.risk, spot.free.accelerators, spot.free.memory))
         .map(|(index, _)| index)
 }
 
@@ -150,25 +156,27 @@
     }
 }
 
-/// Fills `count` tasks into the spots of a cell, tightest first; `free` tells what is free.
+/// Fills `count` tasks into the spots of a cell, the safest first, of these the tightest; `free`
+/// tells what is free.
 pub(super) fn fill(
+    spots: &[Spot],
     cell: &[usize],
     wish: &Wish<'_>,
     count: u32,
     free: impl Fn(usize) -> Option<Need>,
 ) -> Option<Vec<usize>> {
     let need = wish.step.need();
-    let mut rooms: Vec<(u64, usize, u32)> = cell
+    let mut rooms: Vec<(Risk, u64, usize, u32)> = cell
         .iter()
         .filter_map(|&index| {
             let room = free(index)?;
             let fits = Spot::count(&room, &need, wish.spread().min(count));
-            (fits > 0).then_some((room.accelerators, index, fits))
+            (fits > 0).then_some((spots[index].risk, room.accelerators, index, fits))
         })
         .collect();
     rooms.sort_unstable();
     let mut found = Vec::with_capacity(count as usize);
-    for (_, index, fits) in rooms {
+    for (_, _, index, fits) in rooms {
         let left = count as usize - found.len();
         found.extend(std::iter::repeat_n(index, left.min(fits as usize)));
         if found.len() == count as usize {
@@ -178,7 +186,8 @@
     None
 }
 
-/// Finds places for a whole gang: the cell in which the least is left over.
+/// Finds places for a whole gang: the cell with the fewest members at risk, of these the one in
+/// which the least is left over.
 pub(super) fn gang(
     spots: &[Spot],
     racks: &Racks,
@@ -193,12 +202,16 @@
         .cells(spots, wish)
         .iter()
         .filter_map(|cell| {
-            let found = fill(cell, wish, count, free)?;
+            let found = fill(spots, cell, wish, count, free)?;
+            let risky = found
+                .iter()
+                .filter(|at| spots[**at].risk > Risk::Usual)
+                .count();
             let open = cell.iter().filter_map(|&index| free(index));
             let left: u64 = open.map(|room| room.accelerators).sum();
-            Some((left, found))
+            Some(((risky, left), found))
         })
-        .min_by_key(|(left, _)| *left)
+        .min_by_key(|(rank, _)| *rank)
         .map(|(_, found)| found)
 }
 
@@ -209,5 +222,5 @@
     racks
         .cells(spots, wish)
         .iter()
-        .any(|cell| fill(cell, wish, count, room).is_some())
+        .any(|cell| fill(spots, cell, wish, count, room).is_some())
 }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -7,6 +7,7 @@
 use super::board::Board;
 use super::board::Shape;
 use super::gauge;
+use super::health::Risk;
 use super::place;
 use super::place::Wish;
 use super::scheduler::Scheduler;
@@ -64,6 +65,7 @@
             shuns: &[],
             barred: None,
             only: None,
+            risk: Risk::Bad,
         };
         let patience = if board.busy_share < IDLE_SHARE {
             FAR_IDLE_MS
@@ -78,6 +80,13 @@
         let shared = wait.queue.priority > 0 && board.busy_share >= IDLE_SHARE && waited < patience;
         let left = shared.then(|| board.urgent_only.clone());
         let allowed = self.allowed(now, board, wait);
+        // What has failed goes where it is unlikely to fail again, for as long as it works.
+        let caution = if wait.entitled {
+            self.timing.reclaim_ms / FAR_PART
+        } else {
+            wait.predicted
+        };
+        let careful = waited < caution;
         let wish = Wish {
             far,
             barred: left.as_deref(),
@@ -91,26 +100,37 @@
         if !kept && allowed.is_none() && tried.is_some_and(|least| *least <= count) {
             return;
         }
+        let careful = careful && self.has_failed(wait);
         let placed = if step.gang {
-            self.place_gang(now, board, wait, &wish)
+            let risk = if careful { Risk::Usual } else { wish.risk };
+            self.place_gang(now, board, wait, &Wish { risk, ..wish })
         } else {
-            self.place_singles(now, board, wait, &wish)
+            self.place_singles(now, board, wait, &wish, careful)
         };
         if !placed && allowed.is_some() {
             self.ask(now, board, wait, &step);
-        } else if !placed && !kept {
+        } else if !placed && !kept && !careful {
             let least = board.failed.entry(shape).or_insert(count);
             *least = count.min(*least);
         }
     }
 
-    /// Places as many single tasks as fit; returns whether all did.
+    /// Tells whether a task of the step has failed before.
+    fn has_failed(&self, wait: &Waiting) -> bool {
+        let job = self.jobs.get(&wait.job);
+        let stretch = job.and_then(|job| job.stretch(wait.turn, wait.step));
+        stretch.is_some_and(|stretch| stretch.tasks.iter().any(|task| task.fails > 0))
+    }
+
+    /// Places as many single tasks as fit; returns whether all did. `careful`: tasks that have
+    /// failed wait for a place without risk.
     fn place_singles(
         &mut self,
         now: u64,
         board: &mut Board,
         wait: &Waiting,
         wish: &Wish<'_>,
+        careful: bool,
     ) -> bool {
         let mut placed = Vec::new();
         for &index in &wait.tasks {
@@ -122,12 +142,24 @@
             let Some(job) = self.jobs.get(&wait.job) else {
                 break;
             };
-            let shuns = job.task(place).map_or(&[][..], |task| &task.shuns);
+            let Some(task) = job.task(place) else {
+                break;
+            };
+            let careful = careful && task.fails > 0;
             let load = |name: &Name| load_of(job, wait, name);
-            let first = Wish { shuns, ..*wish };
-            let spot = place::single(&board.spots, &first, load)
-                .or_else(|| place::single(&board.spots, wish, load));
+            let first = Wish {
+                shuns: &task.shuns,
+                risk: if careful { Risk::Usual } else { wish.risk },
+                ..*wish
+            };
+            let mut spot = place::single(&board.spots, &first, load);
+            if spot.is_none() && !careful {
+                spot = place::single(&board.spots, wish, load);
+            }
             let Some(spot) = spot else {
+                if careful {
+                    continue;
+                }
                 break;
             };
             placed.push(board.spots[spot].name.clone());
--- a/src/fleet/ports.rs
+++ b/src/fleet/ports.rs
@@ -23,7 +23,7 @@
 pub type Wait<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
 /// A set of rows with its own order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Area {
     /// The jobs.
     Jobs,
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -4,6 +4,7 @@
 use super::evict;
 use super::evict::Request;
 use super::gauge;
+use super::health::Risk;
 use super::model::Need;
 use super::model::StepId;
 use super::model::TaskId;
@@ -30,20 +31,32 @@
         wish: &Wish<'_>,
         count: u32,
     ) -> bool {
+        if !self.inherited.is_heard(now) {
+            return false;
+        }
         let mut victims = match board.victims.take() {
             Some(victims) => victims,
             None => self.victims(now, board),
         };
-        let find = |urgent| {
+        let find = |urgent, risk| {
+            let wish = Wish { risk, ..*wish };
             let request = Request {
-                wish,
+                wish: &wish,
                 count,
                 urgent,
             };
             let ending = &board.ending;
             evict::find(&board.spots, &board.racks, ending, &victims, &request)
         };
-        let found = find(false).or_else(|| wait.entitled.then(|| find(true)).flatten());
+        // Room at a bad upstream is worth no work elsewhere, unless there is no other.
+        let safe = wish.risk.min(Risk::Suspect);
+        let found = find(false, safe)
+            .or_else(|| wait.entitled.then(|| find(true, safe)).flatten())
+            .or_else(|| {
+                (safe < wish.risk)
+                    .then(|| find(wait.entitled, wish.risk))
+                    .flatten()
+            });
         let Some(found) = found else {
             board.victims = Some(victims);
             return false;
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -239,6 +239,7 @@
                 }
             }
             Held::Report(report) => {
+                self.inherited.hear(at);
                 upstream.told(mark);
                 if upstream.misses > 0 {
                     log::info!("TG1506 upstream={at} answers again");
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -7,6 +7,8 @@
 use super::event::Phase;
 use super::event::Reading;
 use super::event::Reply;
+use super::health::Health;
+use super::inherited::Inherited;
 use super::learn::Durations;
 use super::load::Loader;
 use super::model::Config;
@@ -54,7 +56,7 @@
     /// Closed jobs, kept for callers that ask.
     closed: BTreeSet<(u64, Name)>,
     /// Jobs with occurrences to come.
-    timed: BTreeSet<Name>,
+    pub(super) timed: BTreeSet<Name>,
     /// What is known of which upstreams may run a step.
     pub(super) advice: Counsel,
     /// Maintenance.
@@ -66,6 +68,10 @@
     pub(super) mark: u64,
     /// Upstreams whose renewal may be due now.
     pub(super) touched: BTreeSet<Name>,
+    /// What this VM has yet to hear about the work that it took over.
+    pub(super) inherited: Inherited,
+    /// How runs ended lately, at all upstreams together.
+    pub(super) ends: Health,
     /// When all upstreams are looked at for renewals again, own time.
     pub(super) next_renew: u64,
     /// When runs that wait for something are looked at again, own time.
@@ -118,6 +124,8 @@
             changed: true,
             mark: 0,
             touched: BTreeSet::new(),
+            inherited: Inherited::new(now),
+            ends: Health::default(),
             next_renew: 0,
             next_watch: 0,
             next_check: 0,
@@ -140,6 +148,7 @@
                 .or_insert_with(|| Upstream::unlisted(&live.at, now, lease_end));
             // What still runs is to be known at once.
             upstream.look = true;
+            self.inherited.expect(&live.at);
             let run = run_id(&job.id, place, live.number);
             let need = job.spec.steps[place.step as usize].need();
             upstream.take(run, need);
@@ -218,6 +227,7 @@
                 completed,
                 stored,
             } => self.announced(now, wave, completed, stored),
+            Event::Withdrawn(id) => self.withdraw(&id),
             Event::Sealed(id) => {
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.sealed = true;
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -203,6 +203,13 @@
         step.tasks.get_mut(place.index as usize)
     }
 
+    /// Counts the upstreams at which runs of the job have failed, each task by itself.
+    pub(super) fn failures(&self) -> usize {
+        let steps = self.turns.values().flat_map(|turn| &turn.steps);
+        let tasks = steps.flat_map(|step| &step.tasks);
+        tasks.map(|task| task.shuns.len()).sum()
+    }
+
     /// Returns the places of all live runs.
     pub(super) fn live(&self) -> Vec<Place> {
         let mut found = Vec::new();
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -1,6 +1,7 @@
 //! What the scheduler knows of one upstream.
 
 use super::event::Reading;
+use super::health::Health;
 use super::model::Listing;
 use super::model::Need;
 use super::model::RunId;
@@ -78,6 +79,8 @@
     pub(super) shut_until: u64,
     /// Jobs that failed here in a row.
     pub(super) failed: Vec<Name>,
+    /// How its runs ended lately.
+    pub(super) health: Health,
     /// How often it was put in quarantine.
     pub(super) quarantines: u32,
 }
@@ -112,6 +115,7 @@
             paced_at: 0,
             shut_until: 0,
             failed: Vec::new(),
+            health: Health::default(),
             quarantines: 0,
         }
     }
@@ -273,6 +277,7 @@
         self.handled = 0;
         self.asked = 0;
         self.told = 0;
+        self.health = Health::default();
     }
 
     /// Takes no new work until a report has shown its clock again.
--- a/tests/election/world.rs
+++ b/tests/election/world.rs
@@ -486,7 +486,7 @@
         else {
             return;
         };
-        let (every, silence) = if it.deputy { (150, 550) } else { (500, 1_300) };
+        let (every, silence) = if it.deputy { (120, 450) } else { (500, 1_300) };
         if self.now > it.heard + silence {
             let lost = Input::Lost(Lost::Silent);
             self.at(self.now, Event::Told(vm, boot, Kind::Link, link, lost));
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -23,6 +23,8 @@
     Sound,
     /// Runs them, and fails each.
     Failing,
+    /// Runs them, and fails four of seven.
+    Flaky,
     /// Takes calls and never answers; what runs there goes on.
     Silent,
     /// Says that it is unwell, and does nothing.
@@ -115,14 +117,15 @@
                 self.end(&task, How::Lapsed);
             }
         }
-        let how = if self.mood == Mood::Failing {
-            How::Failed
-        } else {
-            How::Done
-        };
         let over = self.running.iter().filter(|(_, run)| run.end <= now);
         let over: Vec<TaskId> = over.map(|(task, _)| task.clone()).collect();
         for task in over {
+            let fails = match self.mood {
+                Mood::Failing => true,
+                Mood::Flaky => self.ends * 4 % 7 < 4,
+                _ => false,
+            };
+            let how = if fails { How::Failed } else { How::Done };
             self.end(&task, how);
         }
     }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod cloud;
 mod evacuate;
 mod fake;
+mod flaky;
 mod guarantees;
 mod lasting;
 mod load;
--- a/tests/fleet/preempt.rs
+++ b/tests/fleet/preempt.rs
@@ -3,6 +3,7 @@
 use super::world::World;
 use super::world::gang;
 use super::world::step;
+use trefoilgauge::fleet::model::How;
 use trefoilgauge::fleet::model::Step;
 
 const LONG_MS: u64 = 60_000;
@@ -58,3 +59,19 @@
     assert_eq!(world.at_work(2).len(), 8);
     assert_eq!(world.at_work(1).len() + world.at_work(3).len(), 0);
 }
+
+#[test]
+fn a_new_leader_hears_what_has_ended_before_it_stops_work() {
+    let mut world = World::new(2, 1);
+    occupy(&mut world, 1, 8, 0, false);
+    world.pass(3_000);
+    occupy(&mut world, 2, 8, 1, false);
+    // Job 1 ends while nobody leads; job 2 is the cheapest to stop.
+    let first = world.upstreams.values_mut().next().unwrap();
+    for task in first.running.keys().cloned().collect::<Vec<_>>() {
+        first.end(&task, How::Done);
+    }
+    world.take_over();
+    urgent(&mut world, 3);
+    assert_eq!(world.at_work(2).len(), 8);
+}
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -1,12 +1,18 @@
-//! A VM's answers while it cannot find a leader; time is virtual.
+//! Hosts on a store in memory: what calls get while no leader is found, the leader is lost, or the
+//! store stalls.
 
-#![expect(clippy::unwrap_used, reason = "helpers of tests")]
+#![expect(clippy::unwrap_used, clippy::panic, reason = "helpers of tests")]
 
+use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::future::pending;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
+use trefoilgauge::fleet::election::Lead;
 use trefoilgauge::fleet::event::Ask;
 use trefoilgauge::fleet::event::Call;
 use trefoilgauge::fleet::event::Held;
@@ -17,7 +23,11 @@
 use trefoilgauge::fleet::host;
 use trefoilgauge::fleet::host::Host;
 use trefoilgauge::fleet::host::Parts;
+use trefoilgauge::fleet::model::Config;
+use trefoilgauge::fleet::model::Queue;
 use trefoilgauge::fleet::model::RunId;
+use trefoilgauge::fleet::model::Spec;
+use trefoilgauge::fleet::model::Step;
 use trefoilgauge::fleet::ports::Area;
 use trefoilgauge::fleet::ports::Directive;
 use trefoilgauge::fleet::ports::Error;
@@ -100,8 +110,8 @@
     }
 }
 
-async fn spawn(store: Arc<Away>) -> Host {
-    let parts = Parts {
+fn parts(store: Arc<dyn Store>) -> Parts {
+    Parts {
         name: "vm-1".into(),
         centre: "coast-1".into(),
         cpu_milli: 1_000,
@@ -122,8 +132,254 @@
         config_age_ms: 3_000,
         config_fresh_ms: 1_200,
         boot: 1,
+    }
+}
+
+async fn spawn(store: Arc<Away>) -> Host {
+    host::spawn(parts(store)).await.unwrap()
+}
+
+/// A store in memory.
+#[derive(Debug, Default)]
+struct Memory {
+    areas: Mutex<HashMap<Area, Vec<Row>>>,
+    fence: AtomicU64,
+    /// Whether appends of jobs get no response.
+    stalled: AtomicBool,
+}
+
+impl Memory {
+    fn rows(&self, area: Area) -> Vec<Row> {
+        let areas = self.areas.lock().unwrap();
+        areas.get(&area).cloned().unwrap_or_default()
+    }
+
+    fn lead(&self) -> Lead {
+        let rows = self.rows(Area::Lead);
+        let end = rows.len() as u64;
+        Lead::read(&Rows { rows, end })
+    }
+}
+
+impl Store for Memory {
+    fn page<'a>(&'a self, area: Area, _: &'a str) -> Wait<'a, Result<Page>> {
+        Box::pin(async move {
+            let all = self.rows(area);
+            let end = all.len() as u64;
+            let newest: BTreeMap<String, Row> =
+                all.into_iter().map(|row| (row.key.clone(), row)).collect();
+            let rows = newest.into_values().filter(|row| !row.value.is_empty());
+            Ok(Page {
+                rows: rows.collect(),
+                end,
+                more: false,
+            })
+        })
+    }
+
+    fn read(&self, area: Area, from: Offset, wait_ms: u64) -> Wait<'_, Result<Rows>> {
+        Box::pin(async move {
+            for _ in 0..=wait_ms / 5 {
+                let all = self.rows(area);
+                let end = all.len() as u64;
+                if end > from {
+                    let start = usize::try_from(from).unwrap();
+                    let rows = all[start..].to_vec();
+                    return Ok(Rows { rows, end });
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let rows = Vec::new();
+            Ok(Rows { rows, end: from })
+        })
+    }
+
+    fn append<'a>(&'a self, area: Area, terms: Terms, rows: &'a [Row]) -> Wait<'a, Result<()>> {
+        Box::pin(async move {
+            if area == Area::Jobs && self.stalled.load(Ordering::Relaxed) {
+                tokio::time::sleep(Duration::from_millis(300)).await;
+                return Err(Error::Silent("stalled".to_owned()));
+            }
+            let mut areas = self.areas.lock().unwrap();
+            let all = areas.entry(area).or_default();
+            match terms {
+                Terms::At(at) if at != all.len() as u64 => return Err(Error::Moved),
+                Terms::Epoch { epoch, .. } if epoch < self.fence.load(Ordering::Relaxed) => {
+                    return Err(Error::Fenced);
+                }
+                Terms::Epoch { epoch, .. } => self.fence.store(epoch, Ordering::Relaxed),
+                Terms::At(_) | Terms::Free => {}
+            }
+            all.extend_from_slice(rows);
+            Ok(())
+        })
+    }
+
+    fn directives(&self, from: Option<Offset>, wait_ms: u64) -> Wait<'_, Result<Feed<Directive>>> {
+        Box::pin(async move {
+            let items = match from {
+                None => vec![Directive::Config(Arc::new(config()))],
+                Some(_) => Vec::new(),
+            };
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            Ok(Feed {
+                items,
+                next: 1,
+                whole: from.is_none(),
+            })
+        })
+    }
+
+    fn announce(&self, _: u64, _: bool) -> Wait<'_, Result<()>> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn sightings(&self, _: Option<Offset>) -> Wait<'_, Result<Feed<Sighting>>> {
+        Box::pin(async {
+            Ok(Feed {
+                items: Vec::new(),
+                next: 0,
+                whole: false,
+            })
+        })
+    }
+}
+
+fn config() -> Config {
+    let queue = Queue {
+        name: "q".into(),
+        host: "host".into(),
+        prefix: "/q/".into(),
+        service: "service".into(),
+        priority: 1,
+        attempts: 2,
+        stretch: 3.0,
+        aim_ms: 1_000,
+        public: true,
+        advice: None,
+    };
+    Config {
+        version: 1,
+        queues: vec![Arc::new(queue)],
+        keys: HashMap::new(),
+    }
+}
+
+/// Starts `count` hosts on one store; returns them once one of them leads.
+async fn fleet(store: &Arc<Memory>, count: u64) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for number in 0..count {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let peer_addr = listener.local_addr().unwrap();
+        drop(listener);
+        let parts = Parts {
+            name: format!("vm-{number}").into(),
+            centre: format!("coast-{number}").into(),
+            peer_addr,
+            boot: number + 1,
+            ..parts(store.clone())
+        };
+        hosts.push(host::spawn(parts).await.unwrap());
+    }
+    for host in &hosts {
+        until(|| host.is_ready()).await;
+    }
+    hosts
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    for _ in 0..400 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("nothing came of it in 4 s");
+}
+
+fn call(id: u64, ask: Ask) -> Call {
+    Call {
+        host: "host".to_owned(),
+        path: format!("/q/{id:016x}"),
+        key: String::new(),
+        ask,
+    }
+}
+
+fn job() -> Ask {
+    let step = Step {
+        count: 1,
+        cpu: 1_000,
+        estimate_ms: 100,
+        ..Step::default()
+    };
+    Ask::Submit(Arc::new(Spec {
+        text: "text".to_owned(),
+        steps: vec![step],
+        ..Spec::default()
+    }))
+}
+
+/// Returns the position of the host that leads.
+fn leader(store: &Memory) -> usize {
+    let name = store.lead().row.unwrap().name;
+    name.strip_prefix("vm-").unwrap().parse().unwrap()
+}
+
+#[tokio::test]
+async fn a_calm_fleet_keeps_its_leader_and_its_links() {
+    let store = Arc::new(Memory::default());
+    let hosts = fleet(&store, 6).await;
+    for _ in 0..150 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(hosts.iter().all(Host::is_ready));
+    }
+    assert_eq!(store.lead().epoch(), 1);
+    assert_eq!(store.lead().end, 1);
+}
+
+#[tokio::test]
+async fn submissions_that_were_never_sent_are_refused_truthfully_while_the_store_stalls() {
+    let store = Arc::new(Memory::default());
+    let hosts = fleet(&store, 1).await;
+    store.stalled.store(true, Ordering::Relaxed);
+    let sent = hosts[0].call(call(1, job()), 3_000);
+    let waits = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let start = Instant::now();
+        let reply = hosts[0].call(call(2, job()), 3_000).await;
+        (reply, start.elapsed())
+    };
+    let (sent, (reply, took)) = tokio::join!(sent, waits);
+    assert_eq!(sent, Reply::Unknown);
+    assert!(matches!(reply, Reply::Unavailable { .. }), "{reply:?}");
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+    store.stalled.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let first = hosts[0].call(call(1, Ask::State), 1_000).await;
+    assert!(matches!(first, Reply::State(_)), "{first:?}");
+    assert_eq!(hosts[0].call(call(2, Ask::State), 1_000).await, Reply::Gone);
+    let rows = store.rows(Area::Jobs);
+    assert!(!rows.iter().any(|row| row.key.ends_with("02")), "{rows:?}");
+}
+
+#[tokio::test]
+async fn a_submission_whose_leader_is_lost_is_accepted_by_the_next() {
+    let store = Arc::new(Memory::default());
+    let mut hosts = fleet(&store, 3).await;
+    let first = leader(&store);
+    store.stalled.store(true, Ordering::Relaxed);
+    let lost = hosts.remove(first);
+    let follower = &hosts[0];
+    let submits = follower.call(call(1, job()), 3_000);
+    let fails = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        drop(lost);
+        store.stalled.store(false, Ordering::Relaxed);
     };
-    host::spawn(parts).await.unwrap()
+    let (reply, ()) = tokio::join!(submits, fails);
+    assert_eq!(reply, Reply::Accepted);
+    assert_eq!(store.lead().epoch(), 2);
 }
 
 /// Makes a call with 3 s left; returns how long it took.
