perf(fleet): skip what cannot fit before searching, and measure the leader's decisions by size

A profile: 65 of 82% in plans, there the cells of gangs (21), searches for victims (24), and whether a gang would ever fit (12), made anew for each gang and plan. Ruled out: renewals and reports (under 4%).

Change: sums of free room by rack, and of what stops would free, leave out racks before they are searched (debug builds compare with the whole scan); whether a shape ever fits is remembered until an upstream comes or goes; a failed search for victims is repeated after 80 ms; names of services are shared; durations are looked up without an allocation.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Measures the decisions and their cost by replays with a virtual clock.
 
 pub mod faults;
+pub mod fleet;
 pub mod measures;
 pub mod policies;
 pub mod replay;
--- a/src/bin/trefoil_bench.rs
+++ b/src/bin/trefoil_bench.rs
@@ -1,4 +1,4 @@
-//! Measures the policy and its cost, and proves the promises: `trefoil-bench policy|requests|scale|faults`.
+//! Measures the policy and its cost, and proves the promises: `trefoil-bench policy|requests|scale|fleet|faults`.
 
 use argh::FromArgs;
 use serde::Serialize;
@@ -7,6 +7,7 @@
 use trefoilgauge::bench::Deployment;
 use trefoilgauge::bench::faults::matrix;
 use trefoilgauge::bench::faults::matrix::Verdict;
+use trefoilgauge::bench::fleet;
 use trefoilgauge::bench::report;
 use trefoilgauge::bench::scale;
 
@@ -24,6 +25,7 @@
     Requests(RequestsArgs),
     Faults(FaultsArgs),
     Scale(ScaleArgs),
+    Fleet(FleetArgs),
 }
 
 /// Measures the cost of events and decisions at growing sizes.
@@ -35,6 +37,15 @@
     json: bool,
 }
 
+/// Measures the decisions of the leader on the users' platform at growing sizes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct FleetArgs {
+    /// print one line of JSON
+    #[argh(switch)]
+    json: bool,
+}
+
 /// Replays a deployment's trace under each policy.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "policy")]
@@ -118,6 +129,7 @@
             }
         }
         Command::Scale(args) => print(&scale::run(), args.json),
+        Command::Fleet(args) => print(&fleet::run(), args.json),
     };
     match text {
         Ok(text) => {
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -42,6 +42,15 @@
     pub(super) need: (u64, u64, u64),
 }
 
+/// For which sizes steps of a shape would fit if everything were free.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Near {
+    /// Up to this number of tasks they do.
+    pub(super) fits: u32,
+    /// From this number of tasks on they do not.
+    pub(super) fails: Option<u32>,
+}
+
 impl Board {
     /// Tells whether one task of `need` for each entry of `spots` fits, with or without what
     /// stops under way give back.
@@ -67,7 +76,7 @@
             let spot = &mut self.spots[at];
             let mut beyond = *need;
             beyond.sub(&spot.free);
-            spot.free.sub(need);
+            self.racks.take(at, spot, need);
             if let Some(ending) = self.ending.get_mut(&at) {
                 ending.sub(&beyond);
             }
@@ -83,6 +92,8 @@
         let mut ending = HashMap::new();
         let (mut used, mut room) = (0, 0);
         let alarm = self.ends.is_alarming(now);
+        let queues = self.config.iter().flat_map(|config| &config.queues);
+        let services: Vec<Name> = queues.map(|queue| queue.service.clone()).collect();
         for (name, upstream) in &self.upstreams {
             if !upstream.listed {
                 continue;
@@ -95,7 +106,11 @@
             room += upstream.listing.room.accelerators;
             spots.push(Spot {
                 name: name.clone(),
-                service: upstream.listing.service.clone(),
+                service: services
+                    .iter()
+                    .find(|service| **service == upstream.listing.service)
+                    .unwrap_or(&upstream.listing.service)
+                    .clone(),
                 rack: upstream.rack.clone(),
                 labels: upstream.listing.labels.clone(),
                 free: upstream.free(),
--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -255,6 +255,7 @@
         };
         log::warn!("TG1508 upstream={at} gone: its address answers for another process");
         upstream.listed = false;
+        self.near.clear();
         self.settle_all(now, at);
     }
 
--- a/src/fleet/evict.rs
+++ b/src/fleet/evict.rs
@@ -50,7 +50,11 @@
     victims: &Victims,
     request: &Request<'_>,
 ) -> Option<Eviction> {
-    let options = racks.cells(spots, request.wish).into_iter();
+    let ends = ending.iter().map(|(at, need)| (*at, *need));
+    let room = racks.with(ends.chain(victims.gains(request.urgent)));
+    let options = racks
+        .cells(spots, request.wish, request.count, |rack| room[rack])
+        .into_iter();
     options
         .flat_map(|cell| {
             let rooms = rooms(spots, ending, &cell);
--- a/src/fleet/learn.rs
+++ b/src/fleet/learn.rs
@@ -17,7 +17,7 @@
 /// Durations seen, by queue and image.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Durations {
-    kinds: HashMap<(Name, Name), Seen>,
+    kinds: HashMap<Name, HashMap<String, Seen>>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -29,11 +29,12 @@
 impl Durations {
     /// Records that a task worked for `ms`.
     pub(super) fn record(&mut self, queue: &Name, step: &Step, ms: u64) {
-        let kind = (queue.clone(), Name::from(step.image.as_str()));
-        if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(&kind) {
+        let known: usize = self.kinds.values().map(HashMap::len).sum();
+        if known >= MAX_KINDS && self.seen(queue, step).is_none() {
             return;
         }
-        let seen = self.kinds.entry(kind).or_insert(Seen {
+        let images = self.kinds.entry(queue.clone()).or_default();
+        let seen = images.entry(step.image.clone()).or_insert(Seen {
             count: 0.0,
             mean_ms: 0.0,
         });
@@ -42,11 +43,14 @@
         seen.mean_ms += (as_f64(ms) - seen.mean_ms) * weight;
     }
 
+    fn seen(&self, queue: &Name, step: &Step) -> Option<&Seen> {
+        self.kinds.get(queue)?.get(&step.image)
+    }
+
     /// Predicts how long a task of `step` works, in milliseconds.
     pub(super) fn predict(&self, queue: &Name, step: &Step) -> u64 {
         let estimate = as_f64(step.estimate_ms.max(1));
-        let kind = (queue.clone(), Name::from(step.image.as_str()));
-        let Some(seen) = self.kinds.get(&kind) else {
+        let Some(seen) = self.seen(queue, step) else {
             return step.estimate_ms.max(1);
         };
         let trust = seen.count / (seen.count + TRUST_ENDS);
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -22,9 +22,19 @@
 
     /// Adds `other`.
     pub fn add(&mut self, other: &Need) {
-        self.cpu += other.cpu;
-        self.memory += other.memory;
-        self.accelerators += other.accelerators;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
+    }
+
+    /// Returns what `count` of it need.
+    pub fn times(&self, count: u32) -> Self {
+        let count = u64::from(count);
+        Self {
+            cpu: self.cpu.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
     }
 
     /// Takes `other` away; stops at zero.
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -12,7 +12,7 @@
 pub(super) struct Spot {
     /// Its identity.
     pub(super) name: Name,
-    /// Its service.
+    /// Its service; the configuration's name where it has one.
     pub(super) service: Name,
     /// Its rack.
     pub(super) rack: Name,
@@ -30,8 +30,8 @@
 
 impl Spot {
     /// Tells whether tasks of `step` may run here at all.
-    pub(super) fn allows(&self, service: &str, step: &Step) -> bool {
-        *self.service == *service
+    pub(super) fn allows(&self, service: &Name, step: &Step) -> bool {
+        (Arc::ptr_eq(&self.service, service) || self.service == *service)
             && (step.label.is_empty() || self.labels.iter().any(|label| **label == *step.label))
     }
 
@@ -49,7 +49,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Wish<'a> {
     /// The service of its queue.
-    pub(super) service: &'a str,
+    pub(super) service: &'a Name,
     /// The step.
     pub(super) step: &'a Step,
     /// Whether upstreams away from the data, or on several racks, will do.
@@ -105,9 +105,15 @@
         .map(|(index, _)| index)
 }
 
-/// The spots rack by rack.
+/// The spots rack by rack, with what is free in each rack and in all.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Racks(Vec<Vec<usize>>);
+pub(super) struct Racks {
+    members: Vec<Vec<usize>>,
+    /// The rack of each spot.
+    rack_of: Vec<usize>,
+    /// What the open spots of each rack have free.
+    free: Vec<Need>,
+}
 
 impl Racks {
     /// Groups `spots` by rack.
@@ -116,7 +122,59 @@
         for (index, spot) in spots.iter().enumerate() {
             racks.entry(&spot.rack).or_default().push(index);
         }
-        Self(racks.into_values().collect())
+        let members: Vec<Vec<usize>> = racks.into_values().collect();
+        let mut rack_of = vec![0; spots.len()];
+        let mut free = vec![Need::default(); members.len()];
+        for (rack, members) in members.iter().enumerate() {
+            for &at in members {
+                rack_of[at] = rack;
+                if spots[at].open {
+                    free[rack].add(&spots[at].free);
+                }
+            }
+        }
+        Self {
+            members,
+            rack_of,
+            free,
+        }
+    }
+
+    /// Takes room for a task at a spot.
+    pub(super) fn take(&mut self, at: usize, spot: &mut Spot, need: &Need) {
+        let sum = &mut self.free[self.rack_of[at]];
+        if spot.open {
+            sum.sub(&spot.free);
+        }
+        spot.free.sub(need);
+        if spot.open {
+            sum.add(&spot.free);
+        }
+    }
+
+    /// Tells for each rack, or for all as one, whether `count` tasks of a wish may fit into sums of
+    /// room: a bound that spares most searches while little is free.
+    fn may_fit(&self, wish: &Wish<'_>, count: u32, room: impl Fn(usize) -> Need) -> Vec<bool> {
+        let need = wish.step.need().times(count);
+        if wish.step.one_rack && !wish.far {
+            return (0..self.members.len())
+                .map(|rack| need.fits(&room(rack)))
+                .collect();
+        }
+        let mut sum = Need::default();
+        for rack in 0..self.members.len() {
+            sum.add(&room(rack));
+        }
+        vec![need.fits(&sum); self.members.len()]
+    }
+
+    /// Sums what `gains` gives to the spots of each rack onto what is free there.
+    pub(super) fn with(&self, gains: impl Iterator<Item = (usize, Need)>) -> Vec<Need> {
+        let mut sums = self.free.clone();
+        for (at, gain) in gains {
+            sums[self.rack_of[at]].add(&gain);
+        }
+        sums
     }
 
     /// Returns the spots of the racks with the most free accelerators, until `sum` are free there.
@@ -126,7 +184,7 @@
             open.map(|at| spots[*at].free.accelerators).sum()
         };
         let mut racks: Vec<(u64, &Vec<usize>)> =
-            self.0.iter().map(|rack| (free(rack), rack)).collect();
+            self.members.iter().map(|rack| (free(rack), rack)).collect();
         racks.sort_by_key(|(free, _)| std::cmp::Reverse(*free));
         let mut found = HashSet::new();
         let mut left = sum;
@@ -140,14 +198,23 @@
         found
     }
 
-    /// Groups the spots that a gang may use together: by rack if it wants one, else all.
-    pub(super) fn cells(&self, spots: &[Spot], wish: &Wish<'_>) -> Vec<Vec<usize>> {
+    /// Groups the spots that a gang of `count` may use together: by rack if it wants one, else all;
+    /// without racks whose `room` in all is too little.
+    pub(super) fn cells(
+        &self,
+        spots: &[Spot],
+        wish: &Wish<'_>,
+        count: u32,
+        room: impl Fn(usize) -> Need,
+    ) -> Vec<Vec<usize>> {
+        let may_fit = self.may_fit(wish, count, room);
         let near = |rack: &&Vec<usize>| rack.first().is_some_and(|&at| wish.near(&spots[at]));
         let usable = |rack: &Vec<usize>| {
             let takes = |at: &usize| wish.takes(*at, &spots[*at]);
             rack.iter().copied().filter(takes).collect::<Vec<usize>>()
         };
-        let racks = self.0.iter().filter(near).map(usable);
+        let racks = self.members.iter().zip(may_fit).filter(|(_, may)| *may);
+        let racks = racks.map(|(rack, _)| rack).filter(near).map(usable);
         if wish.step.one_rack && !wish.far {
             racks.collect()
         } else {
@@ -193,26 +260,51 @@
     racks: &Racks,
     wish: &Wish<'_>,
     count: u32,
+) -> Option<Vec<usize>> {
+    let cells = racks.cells(spots, wish, count, |rack| racks.free[rack]);
+    let found = best_cell(spots, &cells, wish, count);
+    debug_assert_eq!(
+        found,
+        best_cell(
+            spots,
+            &racks.cells(spots, wish, count, boundless),
+            wish,
+            count
+        ),
+        "the sums of the racks have left out a cell"
+    );
+    found
+}
+
+fn best_cell(
+    spots: &[Spot],
+    cells: &[Vec<usize>],
+    wish: &Wish<'_>,
+    count: u32,
 ) -> Option<Vec<usize>> {
     let free = |index: usize| {
         let spot = spots.get(index)?;
         spot.open.then_some(spot.free)
     };
-    racks
-        .cells(spots, wish)
-        .iter()
-        .filter_map(|cell| {
-            let found = fill(spots, cell, wish, count, free)?;
-            let risky = found
-                .iter()
-                .filter(|at| spots[**at].risk > Risk::Usual)
-                .count();
-            let open = cell.iter().filter_map(|&index| free(index));
-            let left: u64 = open.map(|room| room.accelerators).sum();
-            Some(((risky, left), found))
-        })
-        .min_by_key(|(rank, _)| *rank)
-        .map(|(_, found)| found)
+    let options = cells.iter().filter_map(|cell| {
+        let found = fill(spots, cell, wish, count, free)?;
+        let risky = found.iter().filter(|at| spots[**at].risk > Risk::Usual);
+        let risky = risky.count();
+        let open = cell.iter().filter_map(|&index| free(index));
+        let left: u64 = open.map(|room| room.accelerators).sum();
+        Some(((risky, left), found))
+    });
+    let best = options.min_by_key(|(rank, _)| *rank);
+    best.map(|(_, found)| found)
+}
+
+/// Room without a bound.
+fn boundless(_: usize) -> Need {
+    Need {
+        cpu: u64::MAX,
+        memory: u64::MAX,
+        accelerators: u64::MAX,
+    }
 }
 
 /// Tells whether the step would fit near its data and on one rack if everything were free.
@@ -220,7 +312,7 @@
     let room = |index: usize| spots.get(index).map(|spot| spot.room);
     let count = if wish.step.gang { count } else { 1 };
     racks
-        .cells(spots, wish)
+        .cells(spots, wish, count, boundless)
         .iter()
         .any(|cell| fill(spots, cell, wish, count, room).is_some())
 }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -74,9 +74,7 @@
         };
         let waited = now.saturating_sub(wait.since);
         let tied = step.one_rack || !step.data_rack.is_empty();
-        let far = tied
-            && (waited > patience
-                || !place::ever_near(&board.spots, &board.racks, &wish, step.count));
+        let far = tied && (waited > patience || !self.ever_near(board, wait, &wish));
         let shared = wait.queue.priority > 0 && board.busy_share >= IDLE_SHARE && waited < patience;
         let left = shared.then(|| board.urgent_only.clone());
         let allowed = self.allowed(now, board, wait);
@@ -115,6 +113,26 @@
         }
     }
 
+    /// Tells whether the step would fit near its data and on one rack if everything were free;
+    /// remembered until an upstream comes or goes.
+    fn ever_near(&mut self, board: &Board, wait: &Waiting, wish: &Wish<'_>) -> bool {
+        let count = if wish.step.gang { wish.step.count } else { 1 };
+        let known = self.near.entry(shape(wait, wish)).or_default();
+        if count <= known.fits {
+            return true;
+        }
+        if known.fails.is_some_and(|fails| count >= fails) {
+            return false;
+        }
+        let fits = place::ever_near(&board.spots, &board.racks, wish, count);
+        if fits {
+            known.fits = count;
+        } else {
+            known.fails = Some(count);
+        }
+        fits
+    }
+
     /// Tells whether a task of the step has failed before.
     fn has_failed(&self, wait: &Waiting) -> bool {
         let job = self.jobs.get(&wait.job);
@@ -298,7 +316,7 @@
         let mut runs = Vec::with_capacity(pairs.len());
         for &(index, spot) in pairs {
             let at = board.spots[spot].name.clone();
-            board.spots[spot].free.sub(&need);
+            board.racks.take(spot, &mut board.spots[spot], &need);
             if let Some(task) = job.task_mut(place(index)) {
                 task.runs = number;
                 task.live = Some(Live {
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -21,6 +21,10 @@
 use crate::prelude::*;
 use std::collections::HashMap;
 
+/// The wait before a failed search for victims is made again, in milliseconds: the search looks at
+/// all work, and urgent work may wait some ten times as long.
+const SEEK_MS: u64 = 80;
+
 impl Scheduler {
     /// Stops the cheapest work that makes room for a gang, and keeps the room for it.
     pub(super) fn preempt(
@@ -31,7 +35,7 @@
         wish: &Wish<'_>,
         count: u32,
     ) -> bool {
-        if !self.inherited.is_heard(now) {
+        if !self.inherited.is_heard(now) || self.has_sought(now, wait) {
             return false;
         }
         let mut victims = match board.victims.take() {
@@ -59,6 +63,10 @@
             });
         let Some(found) = found else {
             board.victims = Some(victims);
+            let job = self.jobs.get_mut(&wait.job);
+            if let Some(stretch) = job.and_then(|job| job.stretch_mut(wait.turn, wait.step)) {
+                stretch.sought = Some(now);
+            }
             return false;
         };
         let names: Vec<Name> = found
@@ -97,6 +105,14 @@
         true
     }
 
+    /// Tells whether a search for victims has just failed: little has changed since.
+    fn has_sought(&self, now: u64, wait: &Waiting) -> bool {
+        let job = self.jobs.get(&wait.job);
+        let stretch = job.and_then(|job| job.stretch(wait.turn, wait.step));
+        let sought = stretch.and_then(|stretch| stretch.sought);
+        sought.is_some_and(|at| now < at + SEEK_MS)
+    }
+
     /// Lists work that may be stopped, each gang as one: of lower priority, or urgent beyond the
     /// guarantee of its workspace.
     pub(super) fn victims(&self, now: u64, board: &Board) -> Victims {
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -1,6 +1,8 @@
 //! The reducer: its state, and the one function that every event goes through.
 
 use super::advice::Counsel;
+use super::board::Near;
+use super::board::Shape;
 use super::effect::Effect;
 use super::effect::Output;
 use super::event::Event;
@@ -28,6 +30,7 @@
 use prost::Message;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 
 /// Waiting steps for each millisecond between two plans: planning takes a small part of the time
 /// even on an eighth of a core.
@@ -70,6 +73,8 @@
     pub(super) touched: BTreeSet<Name>,
     /// What this VM has yet to hear about the work that it took over.
     pub(super) inherited: Inherited,
+    /// Which shapes would ever fit near their data.
+    pub(super) near: HashMap<Shape, Near>,
     /// How runs ended lately, at all upstreams together.
     pub(super) ends: Health,
     /// When all upstreams are looked at for renewals again, own time.
@@ -106,7 +111,7 @@
     }
 
     /// Makes the state of a VM that knows nothing.
-    pub(super) fn new(timing: Timing, now: u64, wall_ms: u64) -> Self {
+    pub fn new(timing: Timing, now: u64, wall_ms: u64) -> Self {
         let mut scheduler = Self {
             timing,
             config: None,
@@ -125,6 +130,7 @@
             mark: 0,
             touched: BTreeSet::new(),
             inherited: Inherited::new(now),
+            near: HashMap::new(),
             ends: Health::default(),
             next_renew: 0,
             next_watch: 0,
--- a/src/fleet/sightings.rs
+++ b/src/fleet/sightings.rs
@@ -28,6 +28,7 @@
 
     /// Handles entries of upstreams.
     pub(super) fn listed(&mut self, now: u64, listings: Vec<Listing>) {
+        self.near.clear();
         for listing in listings {
             let Some(known) = self.upstreams.get_mut(&listing.id) else {
                 log::info!(
@@ -63,6 +64,7 @@
 
     /// Handles upstreams that discovery has no longer.
     pub(super) fn unlisted(&mut self, names: &[Name]) {
+        self.near.clear();
         for name in names {
             let Some(known) = self.upstreams.get_mut(name) else {
                 continue;
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -79,6 +79,8 @@
     pub(super) ready: Option<u64>,
     /// The upstreams that were freed for the whole gang, and until when they are kept.
     pub(super) kept: Option<(Vec<Name>, u64)>,
+    /// When no work was found whose stop would make room, own time.
+    pub(super) sought: Option<u64>,
 }
 
 /// One occurrence of a job.
@@ -100,6 +102,7 @@
             left: step.count,
             ready: None,
             kept: None,
+            sought: None,
         });
         Self {
             due,
--- a/src/fleet/victims.rs
+++ b/src/fleet/victims.rs
@@ -81,6 +81,13 @@
         taken + victim.tasks() <= left
     }
 
+    /// Lists what stopping all of it would give back, spot by spot.
+    pub(super) fn gains(&self, urgent: bool) -> impl Iterator<Item = (usize, Need)> {
+        let all = self.all.iter().zip(&self.gone);
+        let may = all.filter(move |(victim, gone)| !**gone && (urgent || !victim.urgent));
+        may.flat_map(|(victim, _)| victim.frees.iter().copied())
+    }
+
     /// Lists the work in a cell, the least waste for an accelerator first.
     pub(super) fn order(&self, cell: &[usize], urgent: bool) -> Vec<usize> {
         let mut gains = HashMap::<usize, u64>::new();
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod once;
 mod pace;
 mod preempt;
+mod reports;
 mod steps;
 mod timed;
 mod upkeep;
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -3,6 +3,9 @@
 
 #![expect(clippy::unwrap_used, clippy::panic, reason = "helpers of tests")]
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::future::pending;
@@ -11,6 +14,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 use trefoilgauge::fleet::election::Lead;
 use trefoilgauge::fleet::event::Ask;
@@ -412,3 +417,31 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     assert!(refusal(&host).await > Duration::from_secs(1));
 }
+
+/// Frames with any bytes, any length and any end.
+#[tokio::test]
+async fn malformed_frames_end_their_connection_and_nothing_else() {
+    let store = Arc::new(Memory::default());
+    let hosts = fleet(&store, 2).await;
+    let addr = store.lead().row.unwrap().addr;
+    let mut random = Pcg64::seed_from_u64(7);
+    for round in 0..200_u32 {
+        let mut stream = TcpStream::connect(&addr).await.unwrap();
+        let mut bytes: Vec<u8> = (0..random.random_range(0..64))
+            .map(|_| random.random())
+            .collect();
+        let length = match round % 3 {
+            0 => u32::try_from(bytes.len()).unwrap(),
+            1 => u32::MAX,
+            _ => random.random_range(0..256),
+        };
+        let mut frame = length.to_be_bytes().to_vec();
+        frame.append(&mut bytes);
+        // The other end may close first.
+        let _sent = stream.write_all(&frame).await;
+    }
+    let reply = hosts[0].call(call(1, job()), 2_000).await;
+    assert_eq!(reply, Reply::Accepted);
+    assert!(hosts.iter().all(Host::is_ready));
+    assert_eq!(store.lead().epoch(), 1);
+}
