--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -114,6 +114,8 @@
 pub struct Host {
     desk: channel::Receiver<Desk>,
     leaving: channel::Sender<bool>,
+    /// Until when calls are answered, once the process is about to end.
+    closing: channel::Sender<Option<Instant>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -139,6 +141,7 @@
     Ok(Host {
         desk,
         leaving,
+        closing: channel::channel(None).0,
         tasks: vec![lead, relay.task],
     })
 }
@@ -168,21 +171,28 @@
         loop {
             let until = deadline.min(Instant::now() + patience);
             let known = desk.wait_for(|desk| !matches!(desk, Desk::None | Desk::Loading(_)));
-            let found = match timeout_at(until, known).await {
-                Ok(Ok(desk)) => desk.clone(),
-                _ => Desk::None,
+            let found = tokio::select! {
+                known = timeout_at(until, known) => match known {
+                    Ok(Ok(desk)) => desk.clone(),
+                    _ => Desk::None,
+                },
+                () = self.closed() => return attempts.give_up(),
             };
-            let (epoch, answer) = match found {
-                Desk::Here(engine, epoch) => {
-                    (epoch, timeout_at(deadline, engine.call(what.clone())).await)
+            let passed = async {
+                match found {
+                    Desk::Here(engine, epoch) => Some((epoch, engine.call(what.clone()).await)),
+                    Desk::There(link, epoch) => Some((epoch, link.call(what.clone()).await)),
+                    Desk::None | Desk::Lost | Desk::Loading(_) => None,
                 }
-                Desk::There(link, epoch) => {
-                    (epoch, timeout_at(deadline, link.call(what.clone())).await)
-                }
-                Desk::None | Desk::Lost | Desk::Loading(_) => return attempts.give_up(),
             };
-            let Ok(answer) = answer else {
-                return Reply::Unknown;
+            let passed = tokio::select! {
+                passed = timeout_at(deadline, passed) => passed,
+                () = self.closed() => return Reply::Unknown,
+            };
+            let (epoch, answer) = match passed {
+                Ok(Some((epoch, answer))) => (epoch, answer),
+                Ok(None) => return attempts.give_up(),
+                Err(_) => return Reply::Unknown,
             };
             match attempts.judge(epoch, answer) {
                 Verdict::Final(reply) => return reply,
@@ -192,7 +202,11 @@
                         what.path
                     );
                     let until = deadline.min(Instant::now() + patience);
-                    if !matches!(timeout_at(until, desk.changed()).await, Ok(Ok(()))) {
+                    let changed = tokio::select! {
+                        changed = timeout_at(until, desk.changed()) => changed,
+                        () = self.closed() => return attempts.give_up(),
+                    };
+                    if !matches!(changed, Ok(Ok(()))) {
                         return attempts.give_up();
                     }
                 }
@@ -212,6 +226,25 @@
         }
     }
 
+    /// Returns once calls are to have their answers, whatever is known by then.
+    async fn closed(&self) {
+        let mut closing = self.closing.subscribe();
+        let at = match closing.wait_for(Option::is_some).await {
+            Ok(at) => *at,
+            Err(_) => None,
+        };
+        match at {
+            Some(at) => tokio::time::sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Answers every call within `left_ms` from now on, since the process is about to end.
+    pub fn close_by(&self, left_ms: u64) {
+        let at = Instant::now() + Duration::from_millis(left_ms);
+        self.closing.send_replace(Some(at));
+    }
+
     /// Hands the lead to another VM; calls are relayed on.
     pub fn leave(&self) {
         self.leaving.send_replace(true);
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -445,3 +445,29 @@
     assert!(hosts.iter().all(Host::is_ready));
     assert_eq!(store.lead().epoch(), 1);
 }
+
+/// A process that ends must answer what it has read.
+#[tokio::test]
+async fn calls_are_answered_before_a_process_that_was_told_to_stop_ends() {
+    let store = Arc::new(Memory::default());
+    let hosts = fleet(&store, 1).await;
+    store.stalled.store(true, Ordering::Relaxed);
+    let submits = hosts[0].call(call(1, job()), 3_000);
+    let stops = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        hosts[0].close_by(200);
+    };
+    let start = Instant::now();
+    let (reply, ()) = tokio::join!(submits, stops);
+    assert_eq!(reply, Reply::Unknown);
+    assert!(start.elapsed() < Duration::from_millis(600));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_that_waits_for_a_leader_is_refused_before_its_process_ends() {
+    let store = Arc::new(Away::default());
+    store.silent.store(true, Ordering::Relaxed);
+    let host = spawn(store).await;
+    host.close_by(300);
+    assert_eq!(refusal(&host).await, Duration::from_millis(300));
+}
