fix(fleet): accept what this call has stored, whatever the configuration says by now

Cause: a submission that a lost leader had stored was passed to the next one, which looked at its key and route first. Ruled out: the read of the rows (a leader fences the earlier ones and reads all rows before it answers) and refusals for load or an outdated configuration by the same leader (those are told as unknown already). Answering by the job's identity alone was weighed: a key that was withdrawn could then hand in a job again that it once had handed in. Change: a VM gives each call a nonce; the row of a job keeps the nonce of the call that submitted it. A leader that finds its row accepts the call before it looks at the key, the route, the age of the configuration or the store. A new call with a withdrawn key is refused as before.

--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -283,6 +283,7 @@
             path: format!("/{}/{id}", kind.queue),
             key: String::new(),
             ask: Ask::Submit(Arc::new(spec)),
+            nonce: 0,
         };
         Event::Called {
             call: self.jobs,
--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -25,13 +25,34 @@
 impl Scheduler {
     /// Handles a call.
     pub(super) fn called(&mut self, now: u64, call: u64, what: Call) {
-        let reply = match self.route(&what) {
-            Ok((queue, workspace, rest)) => self.answer(now, &queue, workspace, &rest, what.ask),
-            Err(reply) => reply,
+        let reply = if self.has_stored(&what) {
+            log::info!(
+                "TG1210 call path={} accepted by an earlier leader",
+                what.path
+            );
+            Reply::Accepted
+        } else {
+            match self.route(&what) {
+                Ok((queue, workspace, rest)) => {
+                    let nonce = what.nonce;
+                    self.answer(now, &queue, workspace, &rest, what.ask, nonce)
+                }
+                Err(reply) => reply,
+            }
         };
         self.reply(call, reply);
     }
 
+    /// Tells whether this very call has submitted its job, to a leader that was lost before it
+    /// could reply: the configuration then allowed it, and what it says now changes nothing.
+    pub fn has_stored(&self, what: &Call) -> bool {
+        let submits = matches!(what.ask, Ask::Submit(_)) && what.nonce != 0;
+        submits
+            && self
+                .job_at(&what.path)
+                .is_some_and(|job| job.nonce == what.nonce)
+    }
+
     /// Finds the queue and the workspace of a call, or the refusal.
     fn route(&self, what: &Call) -> Result<Routed, Reply> {
         let Some(config) = &self.config else {
@@ -56,6 +77,7 @@
         workspace: Option<Arc<Workspace>>,
         rest: &str,
         ask: Ask,
+        nonce: u64,
     ) -> Reply {
         if rest.is_empty() {
             return match ask {
@@ -76,7 +98,7 @@
             Ask::Garbled(why) => Reply::Bad(why),
             Ask::Submit(spec) => {
                 let owner = workspace.map_or_else(|| Name::from(""), |found| found.name.clone());
-                self.submit(now, queue, owner, &id, spec)
+                self.submit(now, queue, owner, &id, spec, nonce)
             }
             Ask::State => match self.jobs.get(&id) {
                 Some(job) => Reply::State(job.phase()),
@@ -93,6 +115,7 @@
         workspace: Name,
         id: &Name,
         spec: Arc<Spec>,
+        nonce: u64,
     ) -> Reply {
         if self.jobs.contains_key(id) {
             return Reply::Accepted;
@@ -132,6 +155,7 @@
             workspace,
             text: spec.text.as_str().into(),
             spec,
+            nonce,
             arrived: now,
             wall_ms,
             closed: None,
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -34,6 +34,8 @@
     pub key: String,
     /// What is asked.
     pub ask: Ask,
+    /// Identifies the call across the leaders that it is passed to; 0 if it is passed to one only.
+    pub nonce: u64,
 }
 
 /// The state of a job, as callers see it.
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -321,6 +321,9 @@
 
     /// Declines a call that this VM cannot answer truthfully now.
     fn decline(&self, what: &Call, stalled: bool) -> Option<Reply> {
+        if self.scheduler.has_stored(what) {
+            return None;
+        }
         let old = age(&self.gauges.config_at);
         let limit = self.parts.config_age_ms;
         let revocable = limit > 0 && !what.key.is_empty() && old > limit;
--- a/src/fleet/host/frame.rs
+++ b/src/fleet/host/frame.rs
@@ -130,6 +130,9 @@
     /// Why the body cannot be read.
     #[prost(string, tag = "6")]
     pub(super) fault: String,
+    /// Identifies the call across leaders.
+    #[prost(fixed64, tag = "7")]
+    pub(super) nonce: u64,
 }
 
 /// A reply.
@@ -161,6 +164,7 @@
             key: call.key,
             spec,
             fault,
+            nonce: call.nonce,
         }
     }
 }
@@ -178,6 +182,7 @@
             path: frame.path,
             key: frame.key,
             ask,
+            nonce: frame.nonce,
         }
     }
 }
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -163,7 +163,8 @@
     }
 
     /// Passes a call to the leader; again, if the leader is lost, to the next one.
-    async fn ask(&self, what: Call, left_ms: u64) -> Reply {
+    async fn ask(&self, mut what: Call, left_ms: u64) -> Reply {
+        what.nonce = rand::random();
         let deadline = Instant::now() + Duration::from_millis(left_ms);
         let mut desk = self.desk.clone();
         let mut attempts = Attempts::new(&what.ask);
--- a/src/fleet/host/retry.rs
+++ b/src/fleet/host/retry.rs
@@ -2,8 +2,9 @@
 //!
 //! Jobs are known by their identity, so that a submission, like a question or a cancellation, may
 //! be repeated. A leader of a later epoch has fenced the earlier ones before it read what they
-//! stored: its refusal of a job is true even if an earlier leader had the call. A refusal by the
-//! same leader is not, since the first call may reach it yet.
+//! stored, and accepts what this very call has stored, whatever the configuration says by now: its
+//! refusal of a job is true even if an earlier leader had the call. A refusal by the same leader is
+//! not, since the first call may reach it yet.
 
 use super::Answer;
 use super::LEADERLESS_WAIT_MS;
--- a/src/fleet/row.rs
+++ b/src/fleet/row.rs
@@ -26,6 +26,9 @@
     /// What was submitted.
     #[prost(message, optional, tag = "4")]
     pub spec: Option<Spec>,
+    /// The call that submitted it.
+    #[prost(fixed64, tag = "5")]
+    pub nonce: u64,
 }
 
 /// What changes of a job.
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -420,8 +420,13 @@
 
     /// Tells whether a path names a job that is known here.
     pub fn knows(&self, path: &str) -> bool {
+        self.job_at(path).is_some()
+    }
+
+    /// Finds the job that a path names.
+    pub(super) fn job_at(&self, path: &str) -> Option<&Job> {
         let id = path.rsplit('/').next().unwrap_or_default();
-        self.jobs.contains_key(id)
+        self.jobs.get(id)
     }
 
     /// Whether a configuration is known.
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -140,6 +140,8 @@
     pub(super) spec: Arc<Spec>,
     /// The text passed to tasks.
     pub(super) text: Arc<str>,
+    /// The call that submitted it; 0 if that is not known.
+    pub(super) nonce: u64,
     /// When it was accepted, own time.
     pub(super) arrived: u64,
     /// When it was accepted, Unix milliseconds.
@@ -261,6 +263,7 @@
             workspace: self.workspace.to_string(),
             wall_ms: self.wall_ms,
             spec: Some((*self.spec).clone()),
+            nonce: self.nonce,
         }
     }
 
@@ -305,6 +308,7 @@
             workspace: fixed.workspace.into(),
             text: spec.text.as_str().into(),
             spec,
+            nonce: fixed.nonce,
             arrived: age(fixed.wall_ms),
             wall_ms: fixed.wall_ms,
             closed: None,
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -267,6 +267,7 @@
             path: format!("/{queue}/{id:016x}"),
             key: key.to_owned(),
             ask,
+            nonce: 0,
         };
         self.tell(Event::Called { call, what });
         self.replies.remove(&call)
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -33,6 +33,7 @@
 use trefoilgauge::fleet::model::RunId;
 use trefoilgauge::fleet::model::Spec;
 use trefoilgauge::fleet::model::Step;
+use trefoilgauge::fleet::model::Workspace;
 use trefoilgauge::fleet::ports::Area;
 use trefoilgauge::fleet::ports::Directive;
 use trefoilgauge::fleet::ports::Error;
@@ -151,6 +152,10 @@
     fence: AtomicU64,
     /// Whether appends of jobs get no response.
     stalled: AtomicBool,
+    /// Whether appends of jobs are done, and get no response.
+    mute: AtomicBool,
+    /// The configuration, where it is not the usual one.
+    config: Mutex<Option<Config>>,
 }
 
 impl Memory {
@@ -159,6 +164,21 @@
         areas.get(&area).cloned().unwrap_or_default()
     }
 
+    fn write(&self, area: Area, terms: Terms, rows: &[Row]) -> Result<()> {
+        let mut areas = self.areas.lock().unwrap();
+        let all = areas.entry(area).or_default();
+        match terms {
+            Terms::At(at) if at != all.len() as u64 => return Err(Error::Moved),
+            Terms::Epoch { epoch, .. } if epoch < self.fence.load(Ordering::Relaxed) => {
+                return Err(Error::Fenced);
+            }
+            Terms::Epoch { epoch, .. } => self.fence.store(epoch, Ordering::Relaxed),
+            Terms::At(_) | Terms::Free => {}
+        }
+        all.extend_from_slice(rows);
+        Ok(())
+    }
+
     fn lead(&self) -> Lead {
         let rows = self.rows(Area::Lead);
         let end = rows.len() as u64;
@@ -201,29 +221,24 @@
 
     fn append<'a>(&'a self, area: Area, terms: Terms, rows: &'a [Row]) -> Wait<'a, Result<()>> {
         Box::pin(async move {
+            let mute = area == Area::Jobs && self.mute.load(Ordering::Relaxed);
             if area == Area::Jobs && self.stalled.load(Ordering::Relaxed) {
                 tokio::time::sleep(Duration::from_millis(300)).await;
                 return Err(Error::Silent("stalled".to_owned()));
             }
-            let mut areas = self.areas.lock().unwrap();
-            let all = areas.entry(area).or_default();
-            match terms {
-                Terms::At(at) if at != all.len() as u64 => return Err(Error::Moved),
-                Terms::Epoch { epoch, .. } if epoch < self.fence.load(Ordering::Relaxed) => {
-                    return Err(Error::Fenced);
-                }
-                Terms::Epoch { epoch, .. } => self.fence.store(epoch, Ordering::Relaxed),
-                Terms::At(_) | Terms::Free => {}
+            self.write(area, terms, rows)?;
+            if mute {
+                pending::<()>().await;
             }
-            all.extend_from_slice(rows);
             Ok(())
         })
     }
 
     fn directives(&self, from: Option<Offset>, wait_ms: u64) -> Wait<'_, Result<Feed<Directive>>> {
         Box::pin(async move {
+            let known = self.config.lock().unwrap().clone();
             let items = match from {
-                None => vec![Directive::Config(Arc::new(config()))],
+                None => vec![Directive::Config(Arc::new(known.unwrap_or_else(config)))],
                 Some(_) => Vec::new(),
             };
             tokio::time::sleep(Duration::from_millis(wait_ms)).await;
@@ -308,6 +323,7 @@
         path: format!("/q/{id:016x}"),
         key: String::new(),
         ask,
+        nonce: 0,
     }
 }
 
@@ -387,6 +403,92 @@
     assert_eq!(store.lead().epoch(), 2);
 }
 
+/// Submits job 1 through a VM whose leader stores it, or not, and is lost; the next leader finds
+/// `after` as the configuration. Returns the reply.
+async fn submit_across_leaders(before: Config, after: Config, stored: bool) -> Reply {
+    let store = Arc::new(Memory::default());
+    *store.config.lock().unwrap() = Some(before);
+    let mut hosts = fleet(&store, 3).await;
+    let lost = hosts.remove(leader(&store));
+    let silent = if stored { &store.mute } else { &store.stalled };
+    silent.store(true, Ordering::Relaxed);
+    let what = Call {
+        key: "key".to_owned(),
+        ..call(1, job())
+    };
+    let submits = hosts[0].call(what, 3_000);
+    let fails = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        *store.config.lock().unwrap() = Some(after);
+        drop(lost);
+        silent.store(false, Ordering::Relaxed);
+    };
+    let (reply, ()) = tokio::join!(submits, fails);
+    assert_eq!(store.lead().epoch(), 2);
+    let rows = store.rows(Area::Jobs);
+    assert_eq!(rows.iter().any(|row| row.key.starts_with("j.")), stored);
+    reply
+}
+
+/// A configuration whose queue wants a key, with the key if it is `known`.
+fn guarded(known: bool) -> Config {
+    let usual = config();
+    let queue = Queue {
+        public: false,
+        ..(*usual.queues[0]).clone()
+    };
+    let workspace = Workspace {
+        name: "a".into(),
+        guaranteed: 0,
+    };
+    let key = ("key".to_owned(), Arc::new(workspace));
+    Config {
+        queues: vec![Arc::new(queue)],
+        keys: HashMap::from_iter(known.then_some(key)),
+        ..usual
+    }
+}
+
+#[tokio::test]
+async fn a_stored_submission_is_accepted_though_its_key_was_withdrawn_before_the_next_leader() {
+    let reply = submit_across_leaders(guarded(true), guarded(false), true).await;
+    assert_eq!(reply, Reply::Accepted);
+}
+
+#[tokio::test]
+async fn a_stored_submission_is_accepted_though_its_route_was_dropped_before_the_next_leader() {
+    let dropped = Config {
+        queues: Vec::new(),
+        ..guarded(true)
+    };
+    let reply = submit_across_leaders(guarded(true), dropped, true).await;
+    assert_eq!(reply, Reply::Accepted);
+}
+
+#[tokio::test]
+async fn a_submission_that_was_not_stored_is_refused_where_its_key_was_withdrawn() {
+    let reply = submit_across_leaders(guarded(true), guarded(false), false).await;
+    assert_eq!(reply, Reply::BadKey);
+}
+
+/// The key decides over each call that comes, also of a job that it once handed in.
+#[tokio::test]
+async fn a_withdrawn_key_hands_in_nothing_again() {
+    let store = Arc::new(Memory::default());
+    *store.config.lock().unwrap() = Some(guarded(true));
+    let mut hosts = fleet(&store, 3).await;
+    let lost = hosts.remove(leader(&store));
+    let what = Call {
+        key: "key".to_owned(),
+        ..call(1, job())
+    };
+    assert_eq!(hosts[0].call(what.clone(), 3_000).await, Reply::Accepted);
+    *store.config.lock().unwrap() = Some(guarded(false));
+    drop(lost);
+    until(|| store.lead().epoch() == 2 && hosts[0].is_ready()).await;
+    assert_eq!(hosts[0].call(what, 3_000).await, Reply::BadKey);
+}
+
 /// Makes a call with 3 s left; returns how long it took.
 async fn refusal(host: &Host) -> Duration {
     let what = Call {
@@ -394,6 +496,7 @@
         path: "/q/00000000000000aa".to_owned(),
         key: "key".to_owned(),
         ask: Ask::State,
+        nonce: 0,
     };
     let start = Instant::now();
     let reply = host.call(what, 3_000).await;
