feat(fleet): keep room that was freed for a gang before other work is placed

Change: plans begin with the gangs that have kept room. A test of the scheduler fails before and passes after.

--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -45,12 +45,45 @@
         }
         waiting.sort_by_key(|wait| wait.rank);
         let mut board = self.board(now, entitled);
-        for wait in &waiting {
+        // Room that was freed for a gang is not for others, however they rank.
+        let others: Vec<&Waiting> = waiting
+            .iter()
+            .filter(|wait| !self.place_kept(now, &mut board, wait))
+            .collect();
+        for wait in others {
             self.place_step(now, &mut board, wait);
         }
         waiting.len() as u64
     }
 
+    /// Starts a gang in the room that was freed for it, or keeps the room until the stops are done;
+    /// returns whether there is such room.
+    fn place_kept(&mut self, now: u64, board: &mut Board, wait: &Waiting) -> bool {
+        let Some(kept) = self.kept(now, wait) else {
+            return false;
+        };
+        let job = self.jobs.get(&wait.job);
+        let Some(step) = job.and_then(|job| job.spec.steps.get(wait.step as usize)) else {
+            return false;
+        };
+        let need = step.need();
+        let spots: Vec<usize> = kept
+            .iter()
+            .filter_map(|name| board.index.get(name).copied())
+            .collect();
+        let whole = spots.len() == kept.len() && kept.len() == wait.tasks.len();
+        if whole && board.holds(&spots, &need, false) {
+            self.start_gang(now, board, wait, &spots);
+        } else if whole && board.holds(&spots, &need, true) {
+            board.reserve(&spots, &need);
+        } else {
+            // An upstream shut, or the room is short: look for another place now.
+            self.keep(wait, None);
+            return false;
+        }
+        true
+    }
+
     fn place_step(&mut self, now: u64, board: &mut Board, wait: &Waiting) {
         let Some(job) = self.jobs.get(&wait.job) else {
             return;
@@ -93,9 +126,8 @@
         };
         let shape = shape(wait, &wish);
         let count = if step.gang { step.count } else { 1 };
-        let kept = self.kept(now, wait).is_some();
         let tried = board.failed.get(&shape);
-        if !kept && allowed.is_none() && tried.is_some_and(|least| *least <= count) {
+        if allowed.is_none() && tried.is_some_and(|least| *least <= count) {
             return;
         }
         let careful = careful && self.has_failed(wait);
@@ -107,7 +139,7 @@
         };
         if !placed && allowed.is_some() {
             self.ask(now, board, wait, &step);
-        } else if !placed && !kept && !careful {
+        } else if !placed && !careful {
             let least = board.failed.entry(shape).or_insert(count);
             *least = count.min(*least);
         }
@@ -201,24 +233,6 @@
     /// Places a gang, or makes room for it; returns whether either was possible.
     fn place_gang(&mut self, now: u64, board: &mut Board, wait: &Waiting, wish: &Wish<'_>) -> bool {
         let count = u32::try_from(wait.tasks.len()).unwrap_or(u32::MAX);
-        let need = wish.step.need();
-        if let Some(kept) = self.kept(now, wait) {
-            let spots: Vec<usize> = kept
-                .iter()
-                .filter_map(|name| board.index.get(name).copied())
-                .collect();
-            let whole = spots.len() == kept.len();
-            if whole && board.holds(&spots, &need, false) {
-                self.start_gang(now, board, wait, &spots);
-                return true;
-            }
-            if whole && board.holds(&spots, &need, true) {
-                board.reserve(&spots, &need);
-                return true;
-            }
-            // The room went to others, or an upstream shut: look for other victims now.
-            self.keep(wait, None);
-        }
         let shuns = self.shuns(wait);
         let first = Wish {
             shuns: &shuns,
--- a/tests/fleet/preempt.rs
+++ b/tests/fleet/preempt.rs
@@ -5,6 +5,7 @@
 use super::world::step;
 use trefoilgauge::fleet::model::How;
 use trefoilgauge::fleet::model::Step;
+use trefoilgauge::prelude::*;
 
 const LONG_MS: u64 = 60_000;
 
@@ -75,3 +76,37 @@
     urgent(&mut world, 3);
     assert_eq!(world.at_work(2).len(), 8);
 }
+
+/// The load: urgent gangs that come while the stops for an earlier one are under way.
+#[test]
+fn room_that_was_freed_for_a_gang_is_not_taken_by_one_that_came_later() {
+    let mut world = World::new(1, 3);
+    for id in 1..=3 {
+        occupy(&mut world, id, 8, 0, true);
+    }
+    let names: Vec<_> = world.upstreams.keys().cloned().collect();
+    let wide = gang(2, 8, 10_000);
+    world.work_ms.insert(format!("{:016x}", 4), 10_000);
+    // The end of the stops at one of its two upstreams is heard of late.
+    let busy = |world: &World, at: &Name| world.upstreams[at].running.len();
+    for at in &names {
+        world.upstreams.get_mut(at).unwrap().stalled = true;
+    }
+    world.submit("urgent", "key-a", 4, vec![wide]);
+    world.pass(100);
+    let freed: Vec<_> = names.iter().filter(|at| busy(&world, at) == 0).collect();
+    assert_eq!(freed.len(), 2, "the gang stops the work of two upstreams");
+    world.upstreams.get_mut(freed[0]).unwrap().stalled = false;
+    world.pass(300);
+    // Its objective is earlier, and the room of one upstream is free by now.
+    world.submit("urgent", "key-b", 5, vec![gang(1, 8, 500)]);
+    world.pass(200);
+    for at in &names {
+        world.upstreams.get_mut(at).unwrap().stalled = false;
+    }
+    world.pass(500);
+    let mut first: Vec<_> = world.at_work(4).into_iter().map(|run| run.2).collect();
+    first.sort();
+    assert_eq!(first.iter().collect::<Vec<_>>(), freed);
+    assert_eq!(world.at_work(5).len(), 1, "the other makes its own room");
+}
