feat(fleet): tell other VMs at once when the store declines a leader's appends

A store that is silent may be slow, so that 1 s is right for it; one that declines is not slow. Change: a leader whose appends have all been declined for 300 ms says that it is not confirmed. Others claim the lead as before, after a read of their own and only if the store has served them for a second.

--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -44,6 +44,9 @@
 /// milliseconds: a store that answers 60 times as slowly as usual confirms within 1.2 s, and others
 /// wait a while longer.
 pub(super) const PROVEN_MS: u64 = 1_000;
+/// How long the store may decline every append of this VM before other VMs are told so, in
+/// milliseconds: some ten appends. A store that is silent may be slow; one that declines is not.
+const DECLINED_MS: u64 = 300;
 /// The age of the last confirmation from which on no order is sent, in milliseconds: with a lease
 /// on top, work outlives an outage of the store of 10 s; the next leader waits as long for
 /// upstreams that it cannot reach.
@@ -73,6 +76,8 @@
 pub(super) struct Gauges {
     /// When the lead was last confirmed by the store, own time.
     pub(super) proven_at: AtomicU64,
+    /// Since when the store has declined every append, own time; 0 if it has not.
+    pub(super) declined_at: AtomicU64,
     /// When the configuration was last known to be the newest, own time.
     pub(super) config_at: AtomicU64,
     /// Whether a configuration is in force.
@@ -121,7 +126,9 @@
 
     /// Tells whether the store has confirmed the lead lately.
     pub(super) fn is_proven(&self) -> bool {
-        age(&self.gauges.proven_at) < PROVEN_MS
+        let declined = self.gauges.declined_at.load(Ordering::Relaxed);
+        let declines = declined != 0 && boot_ms() >= declined + DECLINED_MS;
+        !declines && age(&self.gauges.proven_at) < PROVEN_MS
     }
 }
 
@@ -372,9 +379,10 @@
             self.sequence += 1;
         }
         let store = self.parts.store.clone();
+        let gauges = self.gauges.clone();
         let count = rows.len();
         tokio::spawn(async move {
-            let result = append(&*store, terms, &rows).await;
+            let result = append(&*store, terms, &rows, &gauges.declined_at).await;
             if tx.send(result).is_err() {
                 log::debug!("the lead was given up before an append was answered");
             }
@@ -466,11 +474,24 @@
 
 /// Appends until it is certain that it is done or never will be; returns the own time at which
 /// the answered attempt was sent.
-pub(super) async fn append(store: &dyn Store, terms: Terms, rows: &[Row]) -> Result<u64, Error> {
+///
+/// `declined_at` tells since when every attempt has been declined.
+pub(super) async fn append(
+    store: &dyn Store,
+    terms: Terms,
+    rows: &[Row],
+    declined_at: &AtomicU64,
+) -> Result<u64, Error> {
     let mut warned = false;
     loop {
         let sent = boot_ms();
-        match store.append(Area::Jobs, terms, rows).await {
+        let result = store.append(Area::Jobs, terms, rows).await;
+        if !matches!(result, Err(Error::Declined(_))) {
+            declined_at.store(0, Ordering::Relaxed);
+        } else if declined_at.load(Ordering::Relaxed) == 0 {
+            declined_at.store(sent, Ordering::Relaxed);
+        }
+        match result {
             Ok(()) => {
                 if warned {
                     log::info!("TG1402 store answers again");
--- a/src/fleet/host/load.rs
+++ b/src/fleet/host/load.rs
@@ -67,7 +67,9 @@
         epoch: loading.epoch,
         sequence: 0,
     };
-    engine::append(store, terms, &[]).await.map_err(text)?;
+    engine::append(store, terms, &[], &AtomicU64::default())
+        .await
+        .map_err(text)?;
     loading.reach();
     let mut loader = Loader::default();
     let mut after = String::new();
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -154,6 +154,8 @@
     stalled: AtomicBool,
     /// Whether appends of jobs are done, and get no response.
     mute: AtomicBool,
+    /// The epoch whose appends of jobs are declined, 0 for none.
+    declined: AtomicU64,
     /// The configuration, where it is not the usual one.
     config: Mutex<Option<Config>>,
 }
@@ -222,6 +224,10 @@
     fn append<'a>(&'a self, area: Area, terms: Terms, rows: &'a [Row]) -> Wait<'a, Result<()>> {
         Box::pin(async move {
             let mute = area == Area::Jobs && self.mute.load(Ordering::Relaxed);
+            let declined = self.declined.load(Ordering::Relaxed);
+            if matches!(terms, Terms::Epoch { epoch, .. } if epoch == declined) {
+                return Err(Error::Declined("busy".to_owned()));
+            }
             if area == Area::Jobs && self.stalled.load(Ordering::Relaxed) {
                 tokio::time::sleep(Duration::from_millis(300)).await;
                 return Err(Error::Silent("stalled".to_owned()));
@@ -341,6 +347,27 @@
     }))
 }
 
+/// The load: a store that turns the leader away at once and serves the other VMs. A quick check may
+/// wait some 1.5 s in all, of which its own start takes a part.
+#[tokio::test]
+async fn a_leader_that_the_store_declines_is_replaced_while_a_quick_check_can_wait() {
+    let store = Arc::new(Memory::default());
+    let hosts = fleet(&store, 3).await;
+    let follower = &hosts[(leader(&store) + 1) % 3];
+    // Claims come only from VMs that the store has served for a while.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    // The store has confirmed the lead just now.
+    let before = follower.call(call(1, job()), 3_000).await;
+    assert_eq!(before, Reply::Accepted);
+    store.declined.store(1, Ordering::Relaxed);
+    let start = Instant::now();
+    let reply = follower.call(call(2, job()), 3_000).await;
+    assert_eq!(reply, Reply::Accepted);
+    assert_eq!(store.lead().epoch(), 2);
+    let took = start.elapsed();
+    assert!(took < Duration::from_millis(1_250), "{took:?}");
+}
+
 /// Returns the position of the host that leads.
 fn leader(store: &Memory) -> usize {
     let name = store.lead().row.unwrap().name;
