fix(fleet): make room for urgent tasks that are no gang

Only gangs stop other work; single tasks waited for an upstream that is wholly free. Change: urgent single tasks of which none finds a place are placed together, as a gang is. Not where running tasks of the step count against its spread, which the search for gangs does not know. Figures: a test of the scheduler fails before (0 of 1 at work after 2.7 s) and passes after, with one task and with two.

--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -8,6 +8,7 @@
 use super::board::Shape;
 use super::gauge;
 use super::health::Risk;
+use super::model::Step;
 use super::place;
 use super::place::Wish;
 use super::scheduler::Scheduler;
@@ -131,11 +132,15 @@
             return;
         }
         let careful = careful && self.has_failed(wait);
+        let risk = if careful { Risk::Usual } else { wish.risk };
+        let together = Wish { risk, ..wish };
         let placed = if step.gang {
-            let risk = if careful { Risk::Usual } else { wish.risk };
-            self.place_gang(now, board, wait, &Wish { risk, ..wish })
+            self.place_gang(now, board, wait, &together)
         } else {
-            self.place_singles(now, board, wait, &wish, careful)
+            match self.place_singles(now, board, wait, &wish, careful) {
+                0 => may_make_room(wait, &step) && self.place_gang(now, board, wait, &together),
+                some => some == wait.tasks.len(),
+            }
         };
         if !placed && allowed.is_some() {
             self.ask(now, board, wait, &step);
@@ -172,8 +177,8 @@
         stretch.is_some_and(|stretch| stretch.tasks.iter().any(|task| task.fails > 0))
     }
 
-    /// Places as many single tasks as fit; returns whether all did. `careful`: tasks that have
-    /// failed wait for a place without risk.
+    /// Places as many single tasks as fit; returns how many did. `careful`: tasks that have failed
+    /// wait for a place without risk.
     fn place_singles(
         &mut self,
         now: u64,
@@ -181,7 +186,7 @@
         wait: &Waiting,
         wish: &Wish<'_>,
         careful: bool,
-    ) -> bool {
+    ) -> usize {
         let mut placed = Vec::new();
         for &index in &wait.tasks {
             let place = Place {
@@ -227,7 +232,7 @@
                 now.saturating_sub(wait.since)
             );
         }
-        placed.len() == wait.tasks.len()
+        placed.len()
     }
 
     /// Places a gang, or makes room for it; returns whether either was possible.
@@ -374,6 +379,13 @@
     }
 }
 
+/// Tells whether room may be made for single tasks, for all that wait together: they are urgent, and
+/// no task of the step that runs already counts against its spread.
+fn may_make_room(wait: &Waiting, step: &Step) -> bool {
+    let fresh = wait.tasks.len() == step.count as usize;
+    wait.queue.priority == 0 && (step.spread == 0 || fresh)
+}
+
 fn shape(wait: &Waiting, wish: &Wish<'_>) -> Shape {
     let need = wish.step.need();
     Shape {
--- a/tests/fleet/guarantees.rs
+++ b/tests/fleet/guarantees.rs
@@ -68,3 +68,24 @@
         begun - asked
     );
 }
+
+/// Fills two upstreams with work that lasts for a minute, then submits urgent tasks that are no
+/// gang and need an upstream each; returns how many are at work 2.7 s later.
+fn begun_in_time(tasks: u32) -> usize {
+    let mut world = World::new(1, 2);
+    world.work_ms.insert(format!("{:016x}", 1), 60_000);
+    // With so short an estimate it soon takes what is left to urgent work.
+    world.submit("batch", "key-b", 1, vec![step(16, 1, 100)]);
+    world.pass(500);
+    assert_eq!(world.at_work(1).len(), 16);
+    world.work_ms.insert(format!("{:016x}", 2), 60_000);
+    world.submit("urgent", "key-a", 2, vec![step(tasks, 8, 1_000)]);
+    world.pass(2_700);
+    world.at_work(2).len()
+}
+
+#[test]
+fn guaranteed_work_that_is_no_gang_gets_its_room_as_a_gang_does() {
+    assert_eq!(begun_in_time(1), 1);
+    assert_eq!(begun_in_time(2), 2);
+}
