feat(fleet): log how late the leader is and what takes its time

Cause: GANG and RECLAIM on the deployment of 147 VMs could not be told apart by the logs: nothing showed how far a leader is behind, or why. A line each 5 s, each second while 100 ms late or more.

--- a/src/fleet/gauge.rs
+++ b/src/fleet/gauge.rs
@@ -159,6 +159,19 @@
     gauge!("fleet_upstreams", "state" => "silent").set(count(silent));
 }
 
+/// Records how late the leader's task woke up, in milliseconds.
+pub(super) fn late(ms: u64) {
+    histogram!("fleet_leader_late_seconds").record(seconds(ms));
+}
+
+/// Records how long the leader handled events, decided, and handed out orders.
+pub(super) fn busy(parts: [Duration; 3]) {
+    for (part, time) in ["events", "decisions", "orders"].into_iter().zip(parts) {
+        let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        counter!("fleet_leader_busy_milliseconds_total", "part" => part).increment(ms);
+    }
+}
+
 fn count(number: usize) -> f64 {
     u32::try_from(number).map_or(f64::from(u32::MAX), f64::from)
 }
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -7,6 +7,8 @@
 use super::STALLED_WAIT_MS;
 use super::declines::Declines;
 use super::hands::Hands;
+use super::pulse::Part;
+use super::pulse::Pulse;
 use super::withdraw::withdraw;
 use crate::fleet::Effect;
 use crate::fleet::Event;
@@ -148,6 +150,7 @@
     rows: Vec<Row>,
     gated: Vec<Effect>,
     resigned: Option<String>,
+    pulse: Pulse,
 }
 
 /// Who waits for a reply.
@@ -197,6 +200,7 @@
         rows: Vec::new(),
         gated: Vec::new(),
         resigned: None,
+        pulse: Pulse::new(TICK_MS),
     };
     (engine, desk)
 }
@@ -244,10 +248,13 @@
                     }
                     let (open, all, silent) = self.scheduler.counts();
                     gauge::state(age(&self.gauges.config_at), open, all, silent);
+                    self.pulse.tick(self.rx.len());
                 }
             }
             let now = boot_ms();
-            let output = self.scheduler.finish(now, wall_ms());
+            let output = self
+                .pulse
+                .time(Part::Decisions, || self.scheduler.finish(now, wall_ms()));
             self.gauges
                 .ready
                 .store(self.scheduler.is_ready(), Ordering::Relaxed);
@@ -299,7 +306,9 @@
     fn take(&mut self, input: Input, stalled: bool) {
         let now = boot_ms();
         match input {
-            Input::Event(event) => self.scheduler.step(now, event),
+            Input::Event(event) => self
+                .pulse
+                .time(Part::Events, || self.scheduler.step(now, event)),
             Input::Leave => {}
             Input::Call(what, tx) => {
                 if let Some(reply) = self.decline(&what, stalled) {
@@ -317,7 +326,9 @@
                 };
                 self.callers.insert(self.last_call, caller);
                 let call = self.last_call;
-                self.scheduler.step(now, Event::Called { call, what });
+                let event = Event::Called { call, what };
+                self.pulse
+                    .time(Part::Events, || self.scheduler.step(now, event));
             }
         }
     }
@@ -429,7 +440,10 @@
             }
             Effect::Sealed { job } => self.scheduler.step(boot_ms(), Event::Sealed(job)),
             Effect::Resign { why } => self.resigned = Some(why),
-            order => self.hands.carry(order),
+            order => {
+                self.pulse.sent(1);
+                self.pulse.time(Part::Orders, || self.hands.carry(order));
+            }
         }
     }
 
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -7,6 +7,7 @@
 mod lead;
 mod link;
 mod load;
+mod pulse;
 mod relay;
 mod retry;
 mod watch;
