fix(fleet): stop the rest of a gang when a member is settled without an end

Callers saw: part of a gang ran alone (GANG) on the deployment of 147 VMs; the upstreams gave its members up after the gang's time-out of 5 s, and their work began anew only then. Cause: a run that a report omits is settled as not running. Its siblings were stopped only where the caller of settle did so too; find_vanished did not. A change of the leader while the starts of a gang are under way leaves such a gang: the next leader's token fences off some of them. So does a restart of an upstream. Class: a rule of the whole gang kept at the call sites of a change of one member. Change: settle stops the rest itself unless the gang is done; the call sites that did so do not need to. Ruled out: settling of an unreachable or replaced upstream, and refused starts, stopped the rest before. Test: two tests of the scheduler, a change of the leader and a restart.

--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -83,7 +83,8 @@
         }
     }
 
-    /// Settles a run: it is certain that it does not run, and what it took is free.
+    /// Settles a run: it is certain that it does not run, and what it took is free. Without an end of
+    /// its own, the rest of its gang is stopped: it would wait for this member in vain.
     pub(super) fn settle(&mut self, now: u64, run: &RunId, how: Option<How>) {
         let place = place_of(&run.task);
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
@@ -113,6 +114,7 @@
                 live.stage
             );
         }
+        let missed = how.is_none() && !task.done;
         if let Some(step) = job.stretch_mut(place.turn, place.step) {
             step.ready = Some(now);
         }
@@ -122,6 +124,9 @@
             self.pending.insert(run.task.job.clone());
         }
         self.changed = true;
+        if missed {
+            self.stop_rest(now, run);
+        }
     }
 
     pub(super) fn release_everywhere(&mut self, run: &RunId) {
@@ -267,7 +272,6 @@
         let runs: Vec<RunId> = upstream.runs.keys().cloned().collect();
         for run in runs {
             self.settle(now, &run, None);
-            self.stop_rest(now, &run);
         }
     }
 }
--- a/tests/fleet/once.rs
+++ b/tests/fleet/once.rs
@@ -166,3 +166,32 @@
     let runs = world.begun.iter().filter(|b| b.run.task.job.ends_with('3'));
     assert_eq!(runs.count(), 1);
 }
+
+#[test]
+fn a_gang_that_lost_a_member_to_a_change_of_the_leader_does_not_wait_alone() {
+    let mut world = World::new(1, 4);
+    world.work_ms.insert(format!("{:016x}", 1), 20_000);
+    world.submit("scan", "key-a", 1, vec![gang(4, 8, 20_000)]);
+    assert_eq!(world.at_work(1).len(), 4);
+    // The start of one member was fenced off by the next leader.
+    let (task, _, at) = world.at_work(1).remove(0);
+    world.upstreams.get_mut(&at).unwrap().running.remove(&task);
+    world.take_over();
+    world.pass(1_500);
+    let runs: Vec<u32> = world.at_work(1).iter().map(|(_, run, _)| *run).collect();
+    assert_eq!(runs, [2; 4]);
+}
+
+#[test]
+fn a_gang_that_lost_a_member_to_a_restart_of_its_upstream_does_not_wait_alone() {
+    let mut world = World::new(1, 4);
+    world.work_ms.insert(format!("{:016x}", 1), 20_000);
+    world.submit("scan", "key-a", 1, vec![gang(4, 8, 20_000)]);
+    let (_, _, at) = world.at_work(1).remove(0);
+    let restarted = world.upstreams.get_mut(&at).unwrap();
+    restarted.running.clear();
+    restarted.listing.born += 1;
+    world.pass(3_500);
+    let runs: Vec<u32> = world.at_work(1).iter().map(|(_, run, _)| *run).collect();
+    assert_eq!(runs, [2; 4]);
+}
