fix(fleet): let plans take no more than a sixth of the leader's time

Callers saw: urgent jobs within their workspace's guarantee began later than 2.7 s (RECLAIM) on 147 VMs. Cause: a plan was made again 12 to 60 ms after the last one, whatever it took. In bursts plans of 3 to 25 ms came 40 to 160 times a second and took up to half of the wall time of half a core; with the orders of the burst the processor was used up, responses and ends waited, kept room expired and other VMs took the lead. Class: periodic work with a fixed period and a cost that grows with the load. Change: the host tells the scheduler what a plan took, and the next one waits five times as long, at most an eighth of the bound on guaranteed work. Test: load::plans_leave_the_processor_of_a_slow_leader_to_orders_and_reports gives 100% of the time without the pause and passes with it; a second one bounds the pause.

--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -252,9 +252,12 @@
                 }
             }
             let now = boot_ms();
-            let output = self
+            let (output, took) = self
                 .pulse
                 .time(Part::Decisions, || self.scheduler.finish(now, wall_ms()));
+            if output.planned {
+                self.scheduler.pause_plans(boot_ms(), took);
+            }
             self.gauges
                 .ready
                 .store(self.scheduler.is_ready(), Ordering::Relaxed);
@@ -306,9 +309,10 @@
     fn take(&mut self, input: Input, stalled: bool) {
         let now = boot_ms();
         match input {
-            Input::Event(event) => self
-                .pulse
-                .time(Part::Events, || self.scheduler.step(now, event)),
+            Input::Event(event) => {
+                self.pulse
+                    .time(Part::Events, || self.scheduler.step(now, event));
+            }
             Input::Leave => {}
             Input::Call(what, tx) => {
                 if let Some(reply) = self.decline(&what, stalled) {
--- a/src/fleet/host/pulse.rs
+++ b/src/fleet/host/pulse.rs
@@ -54,12 +54,13 @@
         }
     }
 
-    /// Measures `work` as a part.
-    pub(super) fn time<T>(&mut self, part: Part, work: impl FnOnce() -> T) -> T {
+    /// Measures `work` as a part; returns its result and how long it took.
+    pub(super) fn time<T>(&mut self, part: Part, work: impl FnOnce() -> T) -> (T, Duration) {
         let start = Instant::now();
         let result = work();
-        self.window.parts[part as usize] += start.elapsed();
-        result
+        let took = start.elapsed();
+        self.window.parts[part as usize] += took;
+        (result, took)
     }
 
     /// Counts orders that were sent.
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -31,6 +31,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// Waiting steps for each millisecond between two plans: planning takes a small part of the time
 /// even on an eighth of a core.
@@ -40,6 +41,11 @@
 const CHECK_MS: u64 = 200;
 /// The longest time between two plans, in milliseconds.
 const MAX_PLAN_MS: u64 = 60;
+/// The pause after a plan, in times of what it took: the rest of the processor is for orders,
+/// reports and calls, however small the VM is.
+const PLAN_PAUSE_TIMES: u32 = 5;
+/// The part of the bound on guaranteed work that the pause may take.
+const PAUSE_PART: u64 = 8;
 
 /// The state of the VM that leads.
 #[derive(Debug)]
@@ -256,6 +262,7 @@
             self.changed = false;
             let waiting = self.plan(now);
             self.next_plan = now + (waiting / PLAN_PART).min(MAX_PLAN_MS);
+            self.out.planned = waiting > 0;
         }
         self.renew(now);
         self.forget(now);
@@ -265,6 +272,14 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Puts the next plan off after one that took `took` and ended at `now`.
+    pub fn pause_plans(&mut self, now: u64, took: Duration) {
+        let pause = (took * PLAN_PAUSE_TIMES).as_millis();
+        let pause = u64::try_from(pause).unwrap_or(u64::MAX);
+        let most = self.timing.reclaim_ms / PAUSE_PART;
+        self.next_plan = self.next_plan.max(now + pause.min(most));
+    }
+
     fn set_wall(&mut self, now: u64, wall_ms: u64) {
         self.wall_offset = wall_ms.cast_signed() - now.cast_signed();
     }
--- a/tests/fleet/load.rs
+++ b/tests/fleet/load.rs
@@ -1,10 +1,15 @@
 //! What callers get while more comes than can be done.
 
 use super::world::World;
+use super::world::config;
 use super::world::gang;
 use super::world::step;
+use super::world::timing;
+use std::time::Duration;
+use trefoilgauge::fleet::Event;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::event::Reply;
+use trefoilgauge::prelude::*;
 
 #[test]
 fn a_task_that_no_upstream_can_hold_is_refused_at_once() {
@@ -49,3 +54,42 @@
     world.pass(2_500);
     assert_eq!(world.phase("urgent", 99), Some(Phase::Completed));
 }
+
+/// Lets a VM work for 10 s on which each plan takes `plan_ms`, while something changes all the time;
+/// returns when plans began.
+fn plans(plan_ms: u64) -> Vec<u64> {
+    let mut world = World::new(1, 2);
+    for id in 1..=20 {
+        world.submit("scan", "key-a", id, vec![gang(2, 8, 60_000)]);
+    }
+    let mut began = Vec::new();
+    let end = world.now + 10_000;
+    while world.now < end {
+        let change = Event::Config(Arc::new(config(world.now, 16)));
+        world.scheduler.step(world.now, change);
+        if world.scheduler.finish(world.now, world.now).planned {
+            began.push(world.now);
+            world.now += plan_ms;
+            let took = Duration::from_millis(plan_ms);
+            world.scheduler.pause_plans(world.now, took);
+        } else {
+            world.now += 1;
+        }
+    }
+    began
+}
+
+#[test]
+fn plans_leave_the_processor_of_a_slow_leader_to_orders_and_reports() {
+    let began = plans(20);
+    let share = 20 * began.len() * 100 / 10_000;
+    assert!((10..=20).contains(&share), "{share}% of the time");
+}
+
+#[test]
+fn guaranteed_work_is_looked_at_in_time_however_long_a_plan_takes() {
+    let began = plans(400);
+    let gaps = began.windows(2).map(|pair| pair[1] - pair[0]);
+    let longest = gaps.max().unwrap();
+    assert!(longest <= timing().reclaim_ms / 3, "{longest} ms");
+}
