--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -383,6 +383,7 @@
         id: format!("u-{number}").into(),
         addr: format!("10.0.0.1:{number}").into(),
         service: "service".into(),
+        centre: "centre".into(),
         born: 1,
         room: Need {
             cpu: 128_000,
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -293,6 +293,10 @@
     },
     /// The operators order maintenance.
     Wave(Wave),
+    /// All data centres whose upstreams get no new work.
+    Evacuated(Vec<Name>),
+    /// Whether the upstreams of a data centre get no new work from now on.
+    Evacuate(Name, bool),
     /// All machines, or none if the platform did not say.
     Machines(Option<Vec<Machine>>),
     /// An order to take a machine down was answered or given up.
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -333,6 +333,8 @@
     pub addr: Name,
     /// The service that it belongs to.
     pub service: Name,
+    /// Its data centre.
+    pub centre: Name,
     /// When its process started, Unix milliseconds; 0 if it does not say.
     pub born: u64,
     /// What it can hold.
--- a/src/fleet/ports.rs
+++ b/src/fleet/ports.rs
@@ -115,6 +115,10 @@
     Config(Arc<Config>),
     /// Maintenance.
     Wave(Wave),
+    /// All data centres that are being evacuated.
+    Evacuated(Vec<Name>),
+    /// Whether a data centre is being evacuated from now on.
+    Evacuate(Name, bool),
 }
 
 impl From<Directive> for Event {
@@ -122,6 +126,8 @@
         match directive {
             Directive::Config(config) => Self::Config(config),
             Directive::Wave(wave) => Self::Wave(wave),
+            Directive::Evacuated(centres) => Self::Evacuated(centres),
+            Directive::Evacuate(centre, on) => Self::Evacuate(centre, on),
         }
     }
 }
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -70,6 +70,8 @@
     pub(super) advice: Counsel,
     /// Maintenance.
     pub(super) upkeep: Upkeep,
+    /// Data centres whose upstreams get no new work.
+    pub(super) evacuated: BTreeSet<Name>,
     /// Whether something changed that may let a task start.
     pub(super) changed: bool,
     /// Counts events and renewals, to tell which report was asked for after which response: times
@@ -132,6 +134,7 @@
             timed: BTreeSet::new(),
             advice: Counsel::default(),
             upkeep: Upkeep::default(),
+            evacuated: BTreeSet::new(),
             changed: true,
             mark: 0,
             touched: BTreeSet::new(),
@@ -228,6 +231,16 @@
                 answer,
             } => self.advised(now, &step, &asked, answer),
             Event::Wave(wave) => self.wave(now, wave),
+            Event::Evacuated(centres) => self.evacuated(centres.into_iter().collect()),
+            Event::Evacuate(centre, on) => {
+                let mut centres = self.evacuated.clone();
+                if on {
+                    centres.insert(centre);
+                } else {
+                    centres.remove(&centre);
+                }
+                self.evacuated(centres);
+            }
             Event::Machines(list) => self.machines(list),
             Event::Downed {
                 machine,
--- a/src/fleet/sightings.rs
+++ b/src/fleet/sightings.rs
@@ -6,6 +6,7 @@
 use super::scheduler::Scheduler;
 use super::upstream::Upstream;
 use crate::prelude::*;
+use std::collections::BTreeSet;
 
 impl Scheduler {
     /// Takes a newer configuration into force.
@@ -26,10 +27,24 @@
         }
     }
 
+    /// Gives no new work to the upstreams of `centres`, and to all others again.
+    pub(super) fn evacuated(&mut self, centres: BTreeSet<Name>) {
+        if self.evacuated == centres {
+            return;
+        }
+        log::info!("TG1410 evacuated={centres:?} before={:?}", self.evacuated);
+        for upstream in self.upstreams.values_mut() {
+            upstream.evacuated = centres.contains(&upstream.listing.centre);
+        }
+        self.evacuated = centres;
+        self.changed = true;
+    }
+
     /// Handles entries of upstreams.
     pub(super) fn listed(&mut self, now: u64, listings: Vec<Listing>) {
         self.near.clear();
         for listing in listings {
+            let evacuated = self.evacuated.contains(&listing.centre);
             let Some(known) = self.upstreams.get_mut(&listing.id) else {
                 log::info!(
                     "TG1501 upstream={} service={} rack={} listed",
@@ -37,7 +52,8 @@
                     listing.service,
                     listing.rack()
                 );
-                let upstream = Upstream::new(listing.clone(), now);
+                let mut upstream = Upstream::new(listing.clone(), now);
+                upstream.evacuated = evacuated;
                 self.upstreams.insert(listing.id.clone(), upstream);
                 self.changed = true;
                 continue;
@@ -59,6 +75,7 @@
             }
             known.listing = listing;
             known.listed = true;
+            known.evacuated = evacuated;
         }
     }
 
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -39,6 +39,8 @@
     pub(super) rack: Name,
     /// Whether discovery has it.
     pub(super) listed: bool,
+    /// Whether its data centre is being evacuated.
+    pub(super) evacuated: bool,
     /// What its live runs take.
     pub(super) used: Need,
     /// Its live runs.
@@ -96,6 +98,7 @@
             },
             listing,
             listed: true,
+            evacuated: false,
             used: Need::default(),
             runs: HashMap::new(),
             stopping: HashMap::new(),
@@ -127,6 +130,7 @@
             id: id.clone(),
             addr: "".into(),
             service: "".into(),
+            centre: "".into(),
             born: 0,
             room: Need::default(),
             labels: Vec::new(),
@@ -173,6 +177,7 @@
     /// Tells whether it takes new work now.
     pub(super) fn is_open(&self, now: u64) -> bool {
         self.listed
+            && !self.evacuated
             && self.listing.ready
             && self.clearing.is_none()
             && self.misses == 0
--- a/tests/fleet/evacuate.rs
+++ b/tests/fleet/evacuate.rs
@@ -3,6 +3,7 @@
 use super::world::World;
 use super::world::gang;
 use super::world::step;
+use trefoilgauge::fleet::Event;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::model::Step;
 use trefoilgauge::prelude::*;
@@ -98,3 +99,19 @@
     assert_eq!(now.len(), 3);
     assert!(now.iter().all(|(_, _, there)| *there != at));
 }
+
+#[test]
+fn an_evacuated_data_centre_gets_no_new_work_until_it_is_taken_back() {
+    // Each rack is a data centre of its own.
+    let mut world = World::new(2, 1);
+    world.tell(Event::Evacuated(vec!["centre-0".into()]));
+    world.work_ms.insert(format!("{:016x}", 1), 20_000);
+    world.submit("batch", "key-a", 1, vec![step(16, 1, 20_000)]);
+    world.list();
+    world.pass(1_000);
+    assert_eq!(world.begun.len(), 8);
+    assert!(world.begun.iter().all(|begun| begun.at.starts_with("u-1-")));
+    world.tell(Event::Evacuate("centre-0".into(), false));
+    world.pass(500);
+    assert_eq!(world.begun.len(), 16);
+}
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -176,6 +176,7 @@
         id: id.into(),
         addr: format!("10.0.0.1:{}", 1_000 + rack).into(),
         service: "service".into(),
+        centre: format!("centre-{rack}").into(),
         born: 7,
         room: Need {
             cpu: 128_000,
