--- a/src/fleet/effect.rs
+++ b/src/fleet/effect.rs
@@ -121,6 +121,6 @@
     pub gated: Vec<Effect>,
     /// Effects to carry out at once.
     pub free: Vec<Effect>,
-    /// Whether tasks were placed: the part that takes the most time.
+    /// Whether places were searched for waiting tasks: the part that takes the most time.
     pub planned: bool,
 }
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -7,8 +7,8 @@
 use super::STALLED_WAIT_MS;
 use super::declines::Declines;
 use super::hands::Hands;
-use super::pulse::Part;
-use super::pulse::Pulse;
+use super::meter::Meter;
+use super::meter::Part;
 use super::withdraw::withdraw;
 use crate::fleet::Effect;
 use crate::fleet::Event;
@@ -150,7 +150,7 @@
     rows: Vec<Row>,
     gated: Vec<Effect>,
     resigned: Option<String>,
-    pulse: Pulse,
+    meter: Meter,
 }
 
 /// Who waits for a reply.
@@ -200,7 +200,7 @@
         rows: Vec::new(),
         gated: Vec::new(),
         resigned: None,
-        pulse: Pulse::new(TICK_MS),
+        meter: Meter::new(TICK_MS),
     };
     (engine, desk)
 }
@@ -248,12 +248,12 @@
                     }
                     let (open, all, silent) = self.scheduler.counts();
                     gauge::state(age(&self.gauges.config_at), open, all, silent);
-                    self.pulse.tick(self.rx.len());
+                    self.meter.tick(self.rx.len());
                 }
             }
             let now = boot_ms();
             let (output, took) = self
-                .pulse
+                .meter
                 .time(Part::Decisions, || self.scheduler.finish(now, wall_ms()));
             if output.planned {
                 self.scheduler.pause_plans(boot_ms(), took);
@@ -310,7 +310,7 @@
         let now = boot_ms();
         match input {
             Input::Event(event) => {
-                self.pulse
+                self.meter
                     .time(Part::Events, || self.scheduler.step(now, event));
             }
             Input::Leave => {}
@@ -331,7 +331,7 @@
                 self.callers.insert(self.last_call, caller);
                 let call = self.last_call;
                 let event = Event::Called { call, what };
-                self.pulse
+                self.meter
                     .time(Part::Events, || self.scheduler.step(now, event));
             }
         }
@@ -445,8 +445,8 @@
             Effect::Sealed { job } => self.scheduler.step(boot_ms(), Event::Sealed(job)),
             Effect::Resign { why } => self.resigned = Some(why),
             order => {
-                self.pulse.sent(1);
-                self.pulse.time(Part::Orders, || self.hands.carry(order));
+                self.meter.sent();
+                self.meter.time(Part::Orders, || self.hands.carry(order));
             }
         }
     }
--- a/src/fleet/host/pulse.rs
+++ b/src/fleet/host/meter.rs
@@ -35,14 +35,14 @@
 
 /// The leader's load.
 #[derive(Debug)]
-pub(super) struct Pulse {
+pub(super) struct Meter {
     window: Window,
     since: u64,
     tick: u64,
     tick_ms: u64,
 }
 
-impl Pulse {
+impl Meter {
     /// Makes the measure of a task that wakes up each `tick_ms` milliseconds.
     pub(super) fn new(tick_ms: u64) -> Self {
         let now = boot_ms();
@@ -63,9 +63,9 @@
         (result, took)
     }
 
-    /// Counts orders that were sent.
-    pub(super) fn sent(&mut self, orders: usize) {
-        self.window.orders += u64::try_from(orders).unwrap_or(u64::MAX);
+    /// Counts an order that was handed out.
+    pub(super) fn sent(&mut self) {
+        self.window.orders += 1;
     }
 
     /// Notes a tick, with the number of events that wait; logs the load when it is due.
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -7,7 +7,7 @@
 mod lead;
 mod link;
 mod load;
-mod pulse;
+mod meter;
 mod relay;
 mod retry;
 mod watch;
