refactor(fleet): put the decisions into a folder of their own

Cause: prediction, trust, order, admission, placement and preemption stood among the files that gather their inputs and carry their results out, so that two ways of one decision could not be compared without a scheduler. No behaviour changes.

--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -1,6 +1,6 @@
 //! Replies to callers: submissions, job states, cancellations and numbers of waiting jobs.
 
-use super::admit::Refusal;
+use super::decide::admit::Refusal;
 use super::event::Call;
 use super::event::Operation;
 use super::event::Phase;
--- a/src/fleet/evict.rs
+++ b/src/fleet/decide/evict.rs
@@ -3,33 +3,33 @@
 //! Urgent gangs arrive while all accelerators are in use. Unsaved progress of stopped work has to
 //! be done again, so each accelerator-second that a better choice saves is left for other work.
 
-use super::model::ResourceAmounts;
 use super::place::Candidate;
 use super::place::Constraints;
 use super::place::Racks;
 use super::place::fill;
 use super::victims::Victim;
 use super::victims::Victims;
+use crate::fleet::model::ResourceAmounts;
 use std::collections::HashMap;
 
 /// The work to stop, and where the gang is placed then.
 #[derive(Debug, Clone)]
-pub(super) struct Eviction {
+pub(in crate::fleet) struct Eviction {
     /// Positions in the list of victims.
-    pub(super) victims: Vec<usize>,
+    pub(in crate::fleet) victims: Vec<usize>,
     /// The candidate of each member.
-    pub(super) members: Vec<usize>,
+    pub(in crate::fleet) members: Vec<usize>,
 }
 
 /// The gang that needs room.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Request<'a> {
+pub(in crate::fleet) struct Request<'a> {
     /// The step, and where its tasks may run.
-    pub(super) constraints: &'a Constraints<'a>,
+    pub(in crate::fleet) constraints: &'a Constraints<'a>,
     /// The number of tasks.
-    pub(super) count: u32,
+    pub(in crate::fleet) count: u32,
     /// Whether urgent work may be stopped.
-    pub(super) urgent: bool,
+    pub(in crate::fleet) urgent: bool,
 }
 
 /// The free resources of each candidate of a group.
@@ -44,7 +44,7 @@
 
 /// Finds the group of candidates in which making room wastes the least work; `releasing` is what
 /// stops in progress will release on each candidate.
-pub(super) fn find(
+pub(in crate::fleet) fn find(
     candidates: &[Candidate],
     racks: &Racks,
     releasing: &HashMap<usize, ResourceAmounts>,
--- /dev/null
+++ b/src/fleet/decide/order.rs
@@ -0,0 +1,64 @@
+//! The order in which waiting steps are placed.
+//!
+//! Answers overload, when there is more work than room: guaranteed urgent work goes first, then
+//! work that can still meet its objective, by priority, then late work. A result that can be in
+//! time never waits behind one that is of no use any more.
+
+use super::predict::Durations;
+use crate::fleet::model::Queue;
+use crate::fleet::model::Spec;
+
+/// The offset of the rank of late work, which puts it after all work that can be in time.
+const LATE_RANK: u32 = 1_000;
+/// The number of upstreams about which a step typically asks for advice before it starts;
+/// objectives include the time of such a call.
+const TYPICAL_ASKED: u64 = 30;
+
+/// What decides when a waiting step is placed.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::fleet) struct Claim {
+    /// The priority of its queue; 0 goes first.
+    pub(in crate::fleet) priority: u32,
+    /// Whether it is urgent work within its workspace's guarantee.
+    pub(in crate::fleet) entitled: bool,
+    /// When one of its tasks would end if it started now, local clock.
+    pub(in crate::fleet) ends: u64,
+    /// When it has to end to be in time, local clock.
+    pub(in crate::fleet) objective: u64,
+}
+
+impl Claim {
+    /// Returns the order of placement, lowest first: the class, then the time of the objective.
+    pub(in crate::fleet) fn rank(&self) -> (u32, u64) {
+        let late = self.ends > self.objective;
+        let class = match (self.priority, late) {
+            (0, _) if self.entitled => 0,
+            (priority, false) => priority + 1,
+            (0, true) => 1,
+            (priority, true) => LATE_RANK + priority,
+        };
+        (class, self.objective)
+    }
+}
+
+/// Predicts the duration of the longest chain of dependent steps of a job of `queue`, in
+/// milliseconds.
+pub(in crate::fleet) fn chain_ms(durations: &Durations, queue: &Queue, spec: &Spec) -> u64 {
+    let advice_ms = queue
+        .advice
+        .map_or(0, |advice| advice.call_ms(TYPICAL_ASKED));
+    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for step in &spec.steps {
+        let before = step.after.iter().filter_map(|&at| ends.get(at as usize));
+        let start = before.max().copied().unwrap_or(0);
+        ends.push(start + advice_ms + durations.predict(&queue.name, step));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
+
+/// Returns the objective of a job of `queue`: the milliseconds after its due time within which its
+/// end counts as in time.
+pub(in crate::fleet) fn objective_ms(queue: &Queue, chain_ms: u64) -> u64 {
+    let chain = std::time::Duration::from_millis(chain_ms).mul_f64(queue.stretch.clamp(0.0, 1e3));
+    u64::try_from(chain.as_millis()).unwrap_or(u64::MAX) + queue.base_ms
+}
--- a/src/fleet/place.rs
+++ b/src/fleet/decide/place.rs
@@ -1,36 +1,36 @@
 //! Chooses upstreams for tasks: close to their data, gangs on one rack, single tasks by best fit.
 
-use super::health::Risk;
-use super::model::ResourceAmounts;
-use super::model::Step;
+use super::trust::Risk;
+use crate::fleet::model::ResourceAmounts;
+use crate::fleet::model::Step;
 use crate::prelude::*;
 use std::collections::BTreeMap;
 use std::collections::HashSet;
 
 /// An upstream as the planner sees it: its room, and what it may run.
 #[derive(Debug, Clone)]
-pub(super) struct Candidate {
+pub(in crate::fleet) struct Candidate {
     /// The id that discovery gives it.
-    pub(super) name: Name,
+    pub(in crate::fleet) name: Name,
     /// Its service; shared with the configuration's name where the two are equal.
-    pub(super) service: Name,
+    pub(in crate::fleet) service: Name,
     /// Its rack.
-    pub(super) rack: Name,
+    pub(in crate::fleet) rack: Name,
     /// Its labels.
-    pub(super) labels: Vec<Name>,
+    pub(in crate::fleet) labels: Vec<Name>,
     /// The resources that are free now.
-    pub(super) free: ResourceAmounts,
+    pub(in crate::fleet) free: ResourceAmounts,
     /// Its total resources.
-    pub(super) room: ResourceAmounts,
+    pub(in crate::fleet) room: ResourceAmounts,
     /// Whether it takes new work.
-    pub(super) open: bool,
+    pub(in crate::fleet) open: bool,
     /// How likely it is to fail new work.
-    pub(super) risk: Risk,
+    pub(in crate::fleet) risk: Risk,
 }
 
 impl Candidate {
     /// Returns whether service and labels let tasks of `step` run here.
-    pub(super) fn allows(&self, service: &Name, step: &Step) -> bool {
+    pub(in crate::fleet) fn allows(&self, service: &Name, step: &Step) -> bool {
         (Arc::ptr_eq(&self.service, service) || self.service == *service)
             && (step.label.is_empty() || self.labels.iter().any(|label| **label == *step.label))
     }
@@ -47,26 +47,26 @@
 
 /// A step to place, and the upstreams that it may use.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Constraints<'a> {
+pub(in crate::fleet) struct Constraints<'a> {
     /// The service of the step's queue.
-    pub(super) service: &'a Name,
+    pub(in crate::fleet) service: &'a Name,
     /// The step.
-    pub(super) step: &'a Step,
+    pub(in crate::fleet) step: &'a Step,
     /// Whether upstreams away from the data, or on several racks, are acceptable.
-    pub(super) relaxed: bool,
+    pub(in crate::fleet) relaxed: bool,
     /// Upstreams to avoid.
-    pub(super) avoid: &'a [Name],
+    pub(in crate::fleet) avoid: &'a [Name],
     /// Candidates that are reserved for other work.
-    pub(super) reserved: Option<&'a HashSet<usize>>,
+    pub(in crate::fleet) reserved: Option<&'a HashSet<usize>>,
     /// The only candidates that may be used; none for no limit.
-    pub(super) only: Option<&'a HashSet<usize>>,
+    pub(in crate::fleet) only: Option<&'a HashSet<usize>>,
     /// The highest acceptable risk.
-    pub(super) risk: Risk,
+    pub(in crate::fleet) risk: Risk,
 }
 
 impl Constraints<'_> {
     /// Returns the most tasks of the step that one upstream may run.
-    pub(super) fn upstream_limit(&self) -> u32 {
+    pub(in crate::fleet) fn upstream_limit(&self) -> u32 {
         match self.step.upstream_limit {
             0 => u32::MAX,
             most => most,
@@ -74,7 +74,7 @@
     }
 
     /// Returns whether the rack of `candidate` is acceptable.
-    pub(super) fn allows_rack(&self, candidate: &Candidate) -> bool {
+    pub(in crate::fleet) fn allows_rack(&self, candidate: &Candidate) -> bool {
         self.relaxed || self.step.data_rack.is_empty() || *candidate.rack == *self.step.data_rack
     }
 
@@ -91,7 +91,7 @@
 
 /// Finds the candidate for a single task: the lowest risk first, then the best fit. `load` returns
 /// how many tasks of the step an upstream runs already.
-pub(super) fn single(
+pub(in crate::fleet) fn single(
     candidates: &[Candidate],
     constraints: &Constraints<'_>,
     load: impl Fn(&Name) -> u32,
@@ -119,7 +119,7 @@
 
 /// The candidates grouped by rack, with the free resources of each rack.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Racks {
+pub(in crate::fleet) struct Racks {
     members: Vec<Vec<usize>>,
     /// The rack of each candidate.
     rack_of: Vec<usize>,
@@ -129,7 +129,7 @@
 
 impl Racks {
     /// Groups `candidates` by rack.
-    pub(super) fn new(candidates: &[Candidate]) -> Self {
+    pub(in crate::fleet) fn new(candidates: &[Candidate]) -> Self {
         let mut racks = BTreeMap::<&Name, Vec<usize>>::new();
         for (index, candidate) in candidates.iter().enumerate() {
             racks.entry(&candidate.rack).or_default().push(index);
@@ -153,7 +153,7 @@
     }
 
     /// Allocates `need` on a candidate and updates the sum of its rack.
-    pub(super) fn allocate(
+    pub(in crate::fleet) fn allocate(
         &mut self,
         at: usize,
         candidate: &mut Candidate,
@@ -192,7 +192,7 @@
     }
 
     /// Returns what would be free in each rack if its candidates got `gains` back.
-    pub(super) fn free_with(
+    pub(in crate::fleet) fn free_with(
         &self,
         gains: impl Iterator<Item = (usize, ResourceAmounts)>,
     ) -> Vec<ResourceAmounts> {
@@ -205,7 +205,7 @@
 
     /// Returns the candidates of the racks with the most free accelerators, as many racks as it
     /// takes for `sum` free ones.
-    pub(super) fn freest(&self, candidates: &[Candidate], sum: u64) -> HashSet<usize> {
+    pub(in crate::fleet) fn freest(&self, candidates: &[Candidate], sum: u64) -> HashSet<usize> {
         let free = |rack: &Vec<usize>| -> u64 {
             let open = rack.iter().filter(|at| candidates[**at].open);
             open.map(|at| candidates[*at].free.accelerators).sum()
@@ -227,7 +227,7 @@
 
     /// Returns the groups of candidates that a gang of `count` may use together: each rack if it
     /// needs one rack, else all candidates; racks whose total `room` is too small are left out.
-    pub(super) fn groups(
+    pub(in crate::fleet) fn groups(
         &self,
         candidates: &[Candidate],
         constraints: &Constraints<'_>,
@@ -255,7 +255,7 @@
 
 /// Places `count` tasks on the candidates of a group, the lowest risk first, then the best fit;
 /// `free` returns what a candidate has free.
-pub(super) fn fill(
+pub(in crate::fleet) fn fill(
     candidates: &[Candidate],
     group: &[usize],
     constraints: &Constraints<'_>,
@@ -285,7 +285,7 @@
 
 /// Places a whole gang: in the group that puts the fewest members at risk, among these in the one
 /// that leaves the least accelerators free.
-pub(super) fn gang(
+pub(in crate::fleet) fn gang(
     candidates: &[Candidate],
     racks: &Racks,
     constraints: &Constraints<'_>,
@@ -340,7 +340,7 @@
 }
 
 /// Returns whether `count` tasks would fit under the constraints if all candidates were idle.
-pub(super) fn fits_locally(
+pub(in crate::fleet) fn fits_locally(
     candidates: &[Candidate],
     racks: &Racks,
     constraints: &Constraints<'_>,
--- a/src/fleet/learn.rs
+++ b/src/fleet/decide/predict.rs
@@ -3,7 +3,7 @@
 //! Callers' estimates may be off by a factor of almost two, while tasks of one queue and image take
 //! similar times: after a few ends, the mean of past durations is the better prediction.
 
-use super::model::Step;
+use crate::fleet::model::Step;
 use crate::prelude::*;
 use std::collections::HashMap;
 
@@ -16,7 +16,7 @@
 
 /// The durations of past runs, by queue and image.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Durations {
+pub(in crate::fleet) struct Durations {
     kinds: HashMap<Name, HashMap<String, Stats>>,
 }
 
@@ -28,7 +28,7 @@
 
 impl Durations {
     /// Records that a task took `ms` milliseconds.
-    pub(super) fn record(&mut self, queue: &Name, step: &Step, ms: u64) {
+    pub(in crate::fleet) fn record(&mut self, queue: &Name, step: &Step, ms: u64) {
         let known: usize = self.kinds.values().map(HashMap::len).sum();
         if known >= MAX_KINDS && self.stats(queue, step).is_none() {
             return;
@@ -48,7 +48,7 @@
     }
 
     /// Predicts how long a task of `step` takes, in milliseconds.
-    pub(super) fn predict(&self, queue: &Name, step: &Step) -> u64 {
+    pub(in crate::fleet) fn predict(&self, queue: &Name, step: &Step) -> u64 {
         let estimate = as_f64(step.estimate_ms.max(1));
         let Some(stats) = self.stats(queue, step) else {
             return step.estimate_ms.max(1);
--- a/src/fleet/health.rs
+++ b/src/fleet/decide/trust.rs
@@ -28,7 +28,7 @@
 
 /// How likely an upstream is to fail new work; less is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Risk {
+pub(in crate::fleet) enum Risk {
     /// No more likely than usual.
     Usual,
     /// Many upstreams fail work now, and this one has had no recent successes to prove it good.
@@ -41,7 +41,7 @@
 
 /// The recent ends of the runs of an upstream, or of all together, weighted by exponential decay.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Health {
+pub(in crate::fleet) struct Health {
     failures: f64,
     successes: f64,
     /// When the weights were last decayed, local clock.
@@ -50,19 +50,19 @@
 
 impl Health {
     /// Records a failure; `weight` is the part of it that is attributed to the upstream.
-    pub(super) fn record_failure(&mut self, now: u64, weight: f64) {
+    pub(in crate::fleet) fn record_failure(&mut self, now: u64, weight: f64) {
         self.decay(now);
         self.failures += weight;
     }
 
     /// Records that a run ended successfully.
-    pub(super) fn record_success(&mut self, now: u64) {
+    pub(in crate::fleet) fn record_success(&mut self, now: u64) {
         self.decay(now);
         self.successes += 1.0;
     }
 
     /// Estimates the risk of a new run; `alarm`: many upstreams fail work now.
-    pub(super) fn risk(mut self, now: u64, alarm: bool) -> Risk {
+    pub(in crate::fleet) fn risk(mut self, now: u64, alarm: bool) -> Risk {
         self.decay(now);
         let per_mille = self.per_mille();
         if per_mille >= BAD_PER_MILLE {
@@ -78,7 +78,7 @@
 
     /// Returns whether the failure rate is so high that unproven upstreams are to be avoided; for
     /// the ends of all upstreams together.
-    pub(super) fn is_alarming(mut self, now: u64) -> bool {
+    pub(in crate::fleet) fn is_alarming(mut self, now: u64) -> bool {
         self.decay(now);
         self.failures + self.successes >= ALARM_ENDS && self.per_mille() >= ALARM_PER_MILLE
     }
@@ -99,7 +99,7 @@
 
 /// Returns the weight of a failure for the health of the upstream: the more often the job has
 /// failed earlier, the less, since a job may fail by its own fault.
-pub(super) fn failure_weight(earlier: usize) -> f64 {
+pub(in crate::fleet) fn failure_weight(earlier: usize) -> f64 {
     let earlier = u32::try_from(earlier).unwrap_or(u32::MAX);
     1.0 / (1.0 + f64::from(earlier))
 }
--- a/src/fleet/victims.rs
+++ b/src/fleet/decide/victims.rs
@@ -1,25 +1,25 @@
 //! Work that may be preempted, with what stopping it releases and wastes.
 
-use super::model::ResourceAmounts;
+use crate::fleet::model::ResourceAmounts;
 use crate::prelude::*;
 use std::collections::HashMap;
 
 /// Work that is stopped together: a gang or a single run.
 #[derive(Debug, Clone)]
-pub(super) struct Victim {
+pub(in crate::fleet) struct Victim {
     /// The job.
-    pub(super) job: Name,
+    pub(in crate::fleet) job: Name,
     /// One of its runs; stopping it stops the others too.
-    pub(super) position: super::task::TaskPosition,
+    pub(in crate::fleet) position: crate::fleet::task::TaskPosition,
     /// Whether it is urgent work beyond its workspace's guarantee.
-    pub(super) urgent: bool,
+    pub(in crate::fleet) urgent: bool,
     /// The position of its limit in `Victims::allowed`, if only some tasks of its step may be
     /// stopped at once.
-    pub(super) limited: Option<usize>,
+    pub(in crate::fleet) limited: Option<usize>,
     /// The work that stopping it wastes, in core-seconds.
-    pub(super) waste: f64,
+    pub(in crate::fleet) waste: f64,
     /// The resources that each candidate gets back.
-    pub(super) releases: Vec<(usize, ResourceAmounts)>,
+    pub(in crate::fleet) releases: Vec<(usize, ResourceAmounts)>,
 }
 
 impl Victim {
@@ -31,9 +31,9 @@
 
 /// Work that may be stopped, indexed by the candidates that it runs on.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Victims {
+pub(in crate::fleet) struct Victims {
     /// All of it, including what was chosen before, which `taken` marks.
-    pub(super) all: Vec<Victim>,
+    pub(in crate::fleet) all: Vec<Victim>,
     taken: Vec<bool>,
     /// The number of tasks of each limited step that may still be stopped.
     allowed: Vec<u32>,
@@ -42,7 +42,7 @@
 
 impl Victims {
     /// Indexes work that may be stopped; `allowed` holds the number of tasks for each limited step.
-    pub(super) fn new(all: Vec<Victim>, allowed: Vec<u32>) -> Self {
+    pub(in crate::fleet) fn new(all: Vec<Victim>, allowed: Vec<u32>) -> Self {
         let mut by_candidate = HashMap::<usize, Vec<usize>>::new();
         for (index, victim) in all.iter().enumerate() {
             for (at, _) in &victim.releases {
@@ -58,7 +58,7 @@
     }
 
     /// Marks work as chosen for a stop.
-    pub(super) fn mark_taken(&mut self, index: usize) {
+    pub(in crate::fleet) fn mark_taken(&mut self, index: usize) {
         self.taken[index] = true;
         let victim = &self.all[index];
         if let Some(left) = victim.limited.and_then(|step| self.allowed.get_mut(step)) {
@@ -68,7 +68,7 @@
 
     /// Returns whether a victim may be stopped in addition to those of `chosen`; `urgent`: urgent
     /// work may be stopped.
-    pub(super) fn can_stop(&self, index: usize, chosen: &[usize], urgent: bool) -> bool {
+    pub(in crate::fleet) fn can_stop(&self, index: usize, chosen: &[usize], urgent: bool) -> bool {
         let victim = &self.all[index];
         if self.taken[index] || victim.urgent && !urgent || chosen.contains(&index) {
             return false;
@@ -84,14 +84,17 @@
     }
 
     /// Returns what stopping all work in the list would release, with the candidate of each part.
-    pub(super) fn gains(&self, urgent: bool) -> impl Iterator<Item = (usize, ResourceAmounts)> {
+    pub(in crate::fleet) fn gains(
+        &self,
+        urgent: bool,
+    ) -> impl Iterator<Item = (usize, ResourceAmounts)> {
         let all = self.all.iter().zip(&self.taken);
         let may = all.filter(move |(victim, taken)| !**taken && (urgent || !victim.urgent));
         may.flat_map(|(victim, _)| victim.releases.iter().copied())
     }
 
     /// Returns the work on a group of candidates, the least waste per accelerator first.
-    pub(super) fn by_waste(&self, group: &[usize], urgent: bool) -> Vec<usize> {
+    pub(in crate::fleet) fn by_waste(&self, group: &[usize], urgent: bool) -> Vec<usize> {
         let mut gains = HashMap::<usize, u64>::new();
         for at in group {
             for &index in self.by_candidate.get(at).into_iter().flatten() {
@@ -120,7 +123,7 @@
 
     /// Returns the work on a candidate with what stopping it releases there, the least waste per
     /// accelerator first.
-    pub(super) fn on_candidate(&self, at: usize) -> Vec<(usize, ResourceAmounts)> {
+    pub(in crate::fleet) fn on_candidate(&self, at: usize) -> Vec<(usize, ResourceAmounts)> {
         let mut found: Vec<(f64, usize, ResourceAmounts)> = Vec::new();
         for &index in self.by_candidate.get(&at).into_iter().flatten() {
             if found.iter().any(|(_, known, _)| *known == index) {
--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -1,10 +1,10 @@
 //! Handles ends of runs, and settles runs that are no longer active at their upstream.
 
+use super::decide::trust;
 use super::event::Ended;
 use super::event::Phase;
 use super::event::Report;
 use super::gauge;
-use super::health;
 use super::model::How;
 use super::model::RunId;
 use super::scheduler::Scheduler;
@@ -240,7 +240,7 @@
         let Some(upstream) = self.upstreams.get_mut(at) else {
             return;
         };
-        let weight = health::failure_weight(failures);
+        let weight = trust::failure_weight(failures);
         upstream.health.record_failure(now, weight);
         self.ends.record_failure(now, weight);
         if !upstream.failed.contains(job) {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -4,11 +4,11 @@
 //! and may stop other work; then work that can still meet its objective, by priority; then work
 //! that is late.
 
+use super::decide::place;
+use super::decide::place::Constraints;
+use super::decide::trust::Risk;
 use super::gauge;
-use super::health::Risk;
 use super::model::Step;
-use super::place;
-use super::place::Constraints;
 use super::scheduler::Scheduler;
 use super::scheduler::run_id;
 use super::snapshot::Shape;
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -1,13 +1,15 @@
 //! Preemption: stops work of lower priority for urgent gangs, and reserves its resources for them.
 
-use super::evict;
-use super::evict::Request;
+use super::decide::evict;
+use super::decide::evict::Request;
+use super::decide::place::Constraints;
+use super::decide::trust::Risk;
+use super::decide::victims::Victim;
+use super::decide::victims::Victims;
 use super::gauge;
-use super::health::Risk;
 use super::model::ResourceAmounts;
 use super::model::StepId;
 use super::model::TaskId;
-use super::place::Constraints;
 use super::plan::RESERVATION_MS;
 use super::scheduler::Scheduler;
 use super::scheduler::position_of;
@@ -15,8 +17,6 @@
 use super::task::Job;
 use super::task::Stage;
 use super::task::TaskPosition;
-use super::victims::Victim;
-use super::victims::Victims;
 use super::waiting::WaitingStep;
 use crate::prelude::*;
 use std::collections::BTreeMap;
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -1,15 +1,15 @@
 //! The reducer: its state, and the function that handles every event.
 
 use super::advice::AdviceCache;
+use super::decide::predict::Durations;
+use super::decide::trust::Health;
 use super::effect::Effect;
 use super::effect::Output;
 use super::event::Event;
 use super::event::Phase;
 use super::event::Reading;
 use super::event::Reply;
-use super::health::Health;
 use super::inherited::Inherited;
-use super::learn::Durations;
 use super::load::Loader;
 use super::model::Config;
 use super::model::RunId;
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -1,12 +1,12 @@
 //! The state of one planning pass: the free resources of every upstream, updated as the pass starts
 //! and stops work.
 
+use super::decide::place::Candidate;
+use super::decide::place::Racks;
+use super::decide::victims::Victims;
 use super::model::ResourceAmounts;
-use super::place::Candidate;
-use super::place::Racks;
 use super::plan::URGENT_PERCENT;
 use super::scheduler::Scheduler;
-use super::victims::Victims;
 use crate::prelude::*;
 use std::collections::HashMap;
 use std::collections::HashSet;
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -1,7 +1,7 @@
 //! The scheduler's state of one upstream.
 
+use super::decide::trust::Health;
 use super::event::Reading;
-use super::health::Health;
 use super::model::Listing;
 use super::model::ResourceAmounts;
 use super::model::RunId;
--- a/src/fleet/waiting.rs
+++ b/src/fleet/waiting.rs
@@ -1,10 +1,7 @@
-//! Finds the tasks that wait, and the order in which they are placed.
-//!
-//! There is more work than room. Guaranteed urgent work goes first, then work that can still meet
-//! its objective, by priority, then late work: a result that can be in time never waits behind one
-//! that is of no use any more.
+//! Finds the tasks that wait.
 
-use super::learn::Durations;
+use super::decide::order;
+use super::decide::order::Claim;
 use super::model::Config;
 use super::model::Queue;
 use super::model::Spec;
@@ -15,16 +12,10 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
-/// The offset of the rank of late work, which puts it after all work that can be in time.
-const LATE_RANK: u32 = 1_000;
-/// The number of upstreams about which a step typically asks for advice before it starts;
-/// objectives include the time of such a call.
-const TYPICAL_ASKED: u64 = 30;
-
 /// A step with tasks that wait to be placed.
 #[derive(Debug)]
 pub(super) struct WaitingStep {
-    /// The order of placement, lowest first: the class, then the time of the objective.
+    /// The order of placement, lowest first; see [`Claim::rank`].
     pub(super) rank: (u32, u64),
     pub(super) job: Name,
     pub(super) turn: u32,
@@ -90,11 +81,11 @@
                 continue;
             };
             let before = found.len();
-            let chain = chain_ms(&self.durations, queue, &job.spec);
+            let chain = order::chain_ms(&self.durations, queue, &job.spec);
             let spec = job.spec.clone();
             for (&turn_number, turn) in &mut job.turns {
                 let ready: Vec<bool> = spec.steps.iter().map(|step| turn.is_ready(step)).collect();
-                let objective = turn.due + objective_ms(queue, chain);
+                let objective = turn.due + order::objective_ms(queue, chain);
                 for (number, step) in (0..).zip(&spec.steps) {
                     let at = number as usize;
                     let state = &mut turn.steps[at];
@@ -107,16 +98,15 @@
                         continue;
                     }
                     let predicted = self.durations.predict(&job.queue, step);
-                    let late = now + predicted > objective;
                     let entitled = queue.priority == 0 && entitled.contains(id);
-                    let rank = match (queue.priority, late) {
-                        (0, _) if entitled => 0,
-                        (priority, false) => priority + 1,
-                        (0, true) => 1,
-                        (priority, true) => LATE_RANK + priority,
+                    let claim = Claim {
+                        priority: queue.priority,
+                        entitled,
+                        ends: now + predicted,
+                        objective,
                     };
                     found.push(WaitingStep {
-                        rank: (rank, objective),
+                        rank: claim.rank(),
                         job: id.clone(),
                         turn: turn_number,
                         step: number,
@@ -159,25 +149,3 @@
         .map(|(index, _)| index)
         .collect()
 }
-
-/// Predicts the duration of the longest chain of dependent steps of a job of `queue`, in
-/// milliseconds.
-pub(super) fn chain_ms(durations: &Durations, queue: &Queue, spec: &Spec) -> u64 {
-    let advice_ms = queue
-        .advice
-        .map_or(0, |advice| advice.call_ms(TYPICAL_ASKED));
-    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for step in &spec.steps {
-        let before = step.after.iter().filter_map(|&at| ends.get(at as usize));
-        let start = before.max().copied().unwrap_or(0);
-        ends.push(start + advice_ms + durations.predict(&queue.name, step));
-    }
-    ends.into_iter().max().unwrap_or(0)
-}
-
-/// Returns the objective of a job of `queue`: the milliseconds after its due time within which its
-/// end counts as in time.
-pub(super) fn objective_ms(queue: &Queue, chain_ms: u64) -> u64 {
-    let chain = std::time::Duration::from_millis(chain_ms).mul_f64(queue.stretch.clamp(0.0, 1e3));
-    u64::try_from(chain.as_millis()).unwrap_or(u64::MAX) + queue.base_ms
-}
