feat(fleet): estimate the speed of upstreams, and place by it

Cause: a gang ends with its slowest member, and the scheduler knew no upstream's speed. Ruled out: callers' estimates (off by up to 0.9) and the size of jobs, which differ more than upstreams do. Members of one gang report progress of their own, in the ratio of their upstreams' speeds (54% beside 22% at 1.5 s). Change: decide/speed.rs learns from progress beside that of siblings; urgent work takes fast upstreams, other work slow ones.

--- a/src/fleet/decide/mod.rs
+++ b/src/fleet/decide/mod.rs
@@ -8,5 +8,6 @@
 pub(super) mod order;
 pub(super) mod place;
 pub(super) mod predict;
+pub(super) mod speed;
 pub(super) mod trust;
 pub(super) mod victims;
--- a/src/fleet/decide/place.rs
+++ b/src/fleet/decide/place.rs
@@ -1,5 +1,6 @@
 //! Chooses upstreams for tasks: close to their data, gangs on one rack, single tasks by best fit.
 
+use super::speed::Tier;
 use super::trust::Risk;
 use crate::fleet::model::ResourceAmounts;
 use crate::fleet::model::Step;
@@ -26,6 +27,8 @@
     pub(in crate::fleet) open: bool,
     /// How likely it is to fail new work.
     pub(in crate::fleet) risk: Risk,
+    /// How slow it is.
+    pub(in crate::fleet) tier: Tier,
 }
 
 impl Candidate {
@@ -62,6 +65,8 @@
     pub(in crate::fleet) only: Option<&'a HashSet<usize>>,
     /// The highest acceptable risk.
     pub(in crate::fleet) risk: Risk,
+    /// Whether the step is urgent: it prefers fast upstreams, other work leaves them to it.
+    pub(in crate::fleet) urgent: bool,
 }
 
 impl Constraints<'_> {
@@ -78,6 +83,11 @@
         self.relaxed || self.step.data_rack.is_empty() || *candidate.rack == *self.step.data_rack
     }
 
+    /// Returns the order in which the step prefers upstreams, lowest first.
+    fn preference(&self, candidate: &Candidate) -> (Risk, u8) {
+        (candidate.risk, candidate.tier.preference(self.urgent))
+    }
+
     fn accepts(&self, index: usize, candidate: &Candidate) -> bool {
         self.reserved
             .is_none_or(|reserved| !reserved.contains(&index))
@@ -89,7 +99,8 @@
     }
 }
 
-/// Finds the candidate for a single task: the lowest risk first, then the best fit. `load` returns
+/// Finds the candidate for a single task: the lowest risk first, then the preferred speed, then the
+/// best fit. `load` returns
 /// how many tasks of the step an upstream runs already.
 pub(in crate::fleet) fn single(
     candidates: &[Candidate],
@@ -109,7 +120,7 @@
         })
         .min_by_key(|(_, candidate)| {
             (
-                candidate.risk,
+                constraints.preference(candidate),
                 candidate.free.accelerators,
                 candidate.free.memory,
             )
@@ -253,7 +264,8 @@
     }
 }
 
-/// Places `count` tasks on the candidates of a group, the lowest risk first, then the best fit;
+/// Places `count` tasks on the candidates of a group, the lowest risk first, then the preferred
+/// speed, then the best fit;
 /// `free` returns what a candidate has free.
 pub(in crate::fleet) fn fill(
     candidates: &[Candidate],
@@ -263,12 +275,13 @@
     free: impl Fn(usize) -> Option<ResourceAmounts>,
 ) -> Option<Vec<usize>> {
     let need = constraints.step.need();
-    let mut rooms: Vec<(Risk, u64, usize, u32)> = group
+    let mut rooms: Vec<((Risk, u8), u64, usize, u32)> = group
         .iter()
         .filter_map(|&index| {
             let room = free(index)?;
             let fits = Candidate::count(&room, &need, constraints.upstream_limit().min(count));
-            (fits > 0).then_some((candidates[index].risk, room.accelerators, index, fits))
+            let preference = constraints.preference(&candidates[index]);
+            (fits > 0).then_some((preference, room.accelerators, index, fits))
         })
         .collect();
     rooms.sort_unstable();
@@ -284,7 +297,7 @@
 }
 
 /// Places a whole gang: in the group that puts the fewest members at risk, among these in the one
-/// that leaves the least accelerators free.
+/// whose slowest member is preferred, then in the one that leaves the least accelerators free.
 pub(in crate::fleet) fn gang(
     candidates: &[Candidate],
     racks: &Racks,
@@ -322,9 +335,11 @@
             .iter()
             .filter(|at| candidates[**at].risk > Risk::Usual);
         let risky = risky.count();
+        let tiers = found.iter().map(|at| candidates[*at].tier);
+        let slowest = tiers.max().map(|tier| tier.preference(constraints.urgent));
         let open = group.iter().filter_map(|&index| free(index));
         let left: u64 = open.map(|room| room.accelerators).sum();
-        Some(((risky, left), found))
+        Some(((risky, slowest, left), found))
     });
     let best = options.min_by_key(|(rank, _)| *rank);
     best.map(|(_, found)| found)
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -111,6 +111,12 @@
         self.long_running && self.may_miss > 0
     }
 
+    /// Returns whether the pace of its tasks depends on their upstreams alone: not on what others
+    /// leave idle, and not on a serving task's load.
+    pub fn has_own_speed(&self) -> bool {
+        !self.fills && !self.long_running
+    }
+
     /// Returns what a task needs; the cores of a task that only uses idle cores are not counted.
     pub fn need(&self) -> ResourceAmounts {
         ResourceAmounts {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -103,6 +103,7 @@
             reserved: None,
             only: None,
             risk: Risk::Bad,
+            urgent: wait.queue.priority == 0,
         };
         let relax_after = if snapshot.utilisation < IDLE_SHARE {
             RELAX_IDLE_MS
@@ -411,6 +412,7 @@
                     saved_at: now,
                     pace: Some(100),
                     pace_at: now,
+                    seen: None,
                 });
             }
             runs.push((at, run_id(&wait.job, position(index), number)));
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -4,6 +4,7 @@
 //! reports no such run after it responded to an order for it, the upstream's process is gone, or
 //! every lease has expired.
 
+use super::decide::speed::Progress;
 use super::effect::Effect;
 use super::ends::record_position;
 use super::event::Held;
@@ -58,6 +59,7 @@
                 live.answer_mark = Some(mark);
                 live.progress_at = now;
                 live.saved_at = now;
+                self.watch_speed(now, run);
                 self.mark_begun(&run.task.job);
                 return;
             }
@@ -315,9 +317,69 @@
             live.answer_mark = Some(mark);
             self.mark_begun(&work.run.task.job);
         }
+        self.learn_speed(now, at, work);
         self.save(now, &work.run, &work.saved);
     }
 
+    /// Begins to watch the speed of a run that starts from the beginning.
+    fn watch_speed(&mut self, now: u64, run: &RunId) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        let position = position_of(&run.task);
+        let resumed = job
+            .task(record_position(job, position))
+            .is_some_and(|task| !task.saved.is_empty());
+        let live = job.task_mut(position).and_then(|task| task.live.as_mut());
+        if let Some(live) = live.filter(|_| !resumed) {
+            live.seen = Some(Progress {
+                at: now,
+                percent: 0,
+            });
+        }
+    }
+
+    /// Learns the speed of an upstream from the progress of a run beside that of its siblings.
+    fn learn_speed(&mut self, now: u64, at: &Name, work: &RunProgress) {
+        let position = position_of(&work.run.task);
+        let (Some(job), Some(upstream)) = (
+            self.jobs.get_mut(&work.run.task.job),
+            self.upstreams.get_mut(at),
+        ) else {
+            return;
+        };
+        let Some(step) = job.spec.steps.get(position.step as usize) else {
+            return;
+        };
+        let local = step.data_rack.is_empty() || *upstream.rack == *step.data_rack;
+        if !step.has_own_speed() || !local {
+            return;
+        }
+        let Some(state) = job.step_state_mut(position.turn, position.step) else {
+            return;
+        };
+        let task = state.tasks.get_mut(position.index as usize);
+        let Some(live) = task.and_then(|task| task.live.as_mut()) else {
+            return;
+        };
+        let progress = Progress {
+            at: now,
+            percent: work.percent,
+        };
+        let Some(seen) = live.seen else {
+            live.seen = Some(progress);
+            return;
+        };
+        let Some(whole_ms) = seen.whole_ms(progress) else {
+            return;
+        };
+        live.seen = Some(progress);
+        let factor = upstream.slowness.factor(now);
+        if let Some(slower) = state.siblings.compare(whole_ms, factor) {
+            upstream.slowness.record(now, slower);
+        }
+    }
+
     /// Keeps the checkpoint of a run; a gang's is kept at its first task.
     pub(super) fn save(&mut self, now: u64, run: &RunId, saved: &str) {
         let Some(job) = self
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -3,6 +3,8 @@
 
 use super::decide::place::Candidate;
 use super::decide::place::Racks;
+use super::decide::speed;
+use super::decide::speed::Tier;
 use super::decide::victims::Victims;
 use super::model::ResourceAmounts;
 use super::plan::URGENT_PERCENT;
@@ -97,6 +99,9 @@
         let mut index = HashMap::with_capacity(self.upstreams.len());
         let mut releasing = HashMap::new();
         let (mut used, mut room) = (0, 0);
+        let listed = self.upstreams.values().filter(|up| up.listed);
+        let factors = listed.map(|up| up.slowness.factor(now)).collect();
+        let fast = speed::fast_factor(factors);
         let alarm = self.ends.is_alarming(now);
         let queues = self.config.iter().flat_map(|config| &config.queues);
         let services: Vec<Name> = queues.map(|queue| queue.service.clone()).collect();
@@ -123,6 +128,7 @@
                 room: upstream.listing.room,
                 open: upstream.is_open(now),
                 risk: upstream.health.risk(now, alarm),
+                tier: Tier::new(upstream.slowness.factor(now), fast),
             });
         }
         let racks = Racks::new(&candidates);
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -1,5 +1,7 @@
 //! Jobs and their tasks in memory, and the conversion to and from their stored form.
 
+use super::decide::speed::Progress;
+use super::decide::speed::Siblings;
 use super::event::Phase;
 use super::model::Spec;
 use super::model::Step;
@@ -48,6 +50,9 @@
     pub(super) pace: Option<u32>,
     /// When that share was last changed, local clock.
     pub(super) pace_at: u64,
+    /// The last report of its progress that tells its speed; none before its first, if it resumed
+    /// from a checkpoint.
+    pub(super) seen: Option<Progress>,
 }
 
 /// A task.
@@ -82,6 +87,8 @@
     pub(super) reserved: Option<(Vec<Name>, u64)>,
     /// When a search for work to preempt last found none, local clock.
     pub(super) searched_at: Option<u64>,
+    /// How long its tasks take, by the reports of those that run.
+    pub(super) siblings: Siblings,
 }
 
 /// One occurrence of a job.
@@ -104,6 +111,7 @@
             ready: None,
             reserved: None,
             searched_at: None,
+            siblings: Siblings::default(),
         });
         Self {
             due,
@@ -382,6 +390,7 @@
         saved_at: now,
         pace: None,
         pace_at: now,
+        seen: None,
     });
     Task {
         runs: row.runs,
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -1,5 +1,6 @@
 //! The scheduler's state of one upstream.
 
+use super::decide::speed::Slowness;
 use super::decide::trust::Health;
 use super::event::Reading;
 use super::model::Listing;
@@ -84,6 +85,8 @@
     pub(super) failed: Vec<Name>,
     /// How its runs ended recently.
     pub(super) health: Health,
+    /// How much longer than usual work takes there.
+    pub(super) slowness: Slowness,
     /// How often it was put in quarantine since a run was last done there.
     pub(super) quarantines: u32,
 }
@@ -120,6 +123,7 @@
             blocked_until: 0,
             failed: Vec::new(),
             health: Health::default(),
+            slowness: Slowness::default(),
             quarantines: 0,
         }
     }
@@ -285,6 +289,7 @@
         self.acknowledging = 0;
         self.acknowledged = 0;
         self.health = Health::default();
+        self.slowness = Slowness::default();
     }
 
     /// Gives it no new work until a report has shown its clock again.
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -38,6 +38,9 @@
 pub(crate) struct Running {
     pub number: u32,
     pub start: u64,
+    /// When its own part of the work is done.
+    pub worked: u64,
+    /// When it ends; the members of a gang end together.
     pub end: u64,
     /// The share of its full speed that it was given, in percent.
     pub pace: u32,
@@ -59,6 +62,8 @@
     pub base_ms: u64,
     /// The increase of that tail latency by each other task at full speed, in milliseconds.
     pub slowdown_ms: u64,
+    /// How long work takes there, in percent of the usual time.
+    pub time_percent: u64,
     /// Whether its responses are delayed; orders are carried out.
     pub stalled: bool,
     /// When it is gone, with all its running work.
@@ -80,6 +85,7 @@
             holds: Vec::new(),
             base_ms: 0,
             slowdown_ms: 0,
+            time_percent: 100,
             stalled: false,
             leaves: None,
             ends: 0,
@@ -164,12 +170,13 @@
 }
 
 fn percent(now: u64, run: &Running) -> u32 {
-    let whole = run.end - run.start;
+    let whole = run.worked - run.start;
     if run.is_lasting() {
         return if run.start + WARM_MS <= now { 100 } else { 50 };
     }
     let done = (now - run.start) * 100 / whole.max(1);
-    u32::try_from(done.min(99)).unwrap()
+    let waits = run.end > run.worked;
+    u32::try_from(done.min(if waits { 100 } else { 99 })).unwrap()
 }
 
 fn listing(id: &str, rack: u32) -> Listing {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod pace;
 mod preempt;
 mod reports;
+mod speed;
 mod steps;
 mod timed;
 mod upkeep;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -59,6 +59,8 @@
     pub lose_pace: bool,
     /// The jobs of the queue that needs advice.
     guarded: HashSet<Name>,
+    /// The jobs whose only step is a gang.
+    gangs: HashSet<Name>,
     /// The starts that were declined because they had no valid ticket.
     pub unadvised: u32,
     pub advisor: Advisor,
@@ -164,6 +166,7 @@
             paces: 0,
             lose_pace: false,
             guarded: HashSet::new(),
+            gangs: HashSet::new(),
             unadvised: 0,
             advisor: Advisor::default(),
             cloud: Cloud::default(),
@@ -249,6 +252,11 @@
         id: u64,
         spec: Spec,
     ) -> Option<Reply> {
+        if let [step] = &spec.steps[..]
+            && step.gang
+        {
+            self.gangs.insert(format!("{id:016x}").into());
+        }
         let spec = Spec {
             text: "text".to_owned(),
             ..spec
--- a/tests/fleet/world/carry.rs
+++ b/tests/fleet/world/carry.rs
@@ -185,15 +185,19 @@
                 let end = if behaviour == Behaviour::Failing {
                     now + 100
                 } else {
-                    now + work
+                    now + work * fake.time_percent / 100
                 };
                 let started = Running {
                     number: run.number,
                     start: now,
+                    worked: end,
                     end,
                     pace: 100,
                 };
                 fake.running.insert(run.task.clone(), started);
+                if self.gangs.contains(&run.task.job) {
+                    self.end_together(&run);
+                }
                 if behaviour == Behaviour::ReplyLost && first {
                     Started::Silent
                 } else {
@@ -201,7 +205,7 @@
                 }
             }
         };
-        if fake.stalled {
+        if self.upstreams[at].stalled {
             return;
         }
         let clock = (answer != Started::Silent).then_some(Reading {
@@ -217,6 +221,22 @@
         self.scheduler.step(now, event);
     }
 
+    /// Lets the members of a gang end with the slowest of them.
+    fn end_together(&mut self, run: &RunId) {
+        let all = self
+            .upstreams
+            .values_mut()
+            .flat_map(|fake| &mut fake.running);
+        let members = all.filter(|(task, running)| {
+            task.step_id() == run.task.step_id() && running.number == run.number
+        });
+        let members: Vec<&mut Running> = members.map(|(_, running)| running).collect();
+        let end = members.iter().map(|running| running.worked).max();
+        for running in members {
+            running.end = end.unwrap_or(running.end);
+        }
+    }
+
     fn stop(&mut self, at: &Name, run: RunId) {
         let now = self.now;
         let fake = self.upstreams.get_mut(at).unwrap();
