feat(fleet): compare upstreams coarsely, and hear of urgent gangs early

The first report came 1.5 s after a start, when much urgent work is done. Change: four levels only; patient work leaves the fast upstreams to urgent work only where a fifth of the fleet is slow, and unknown ones count as between; the usual time of a step is the median over distinct upstreams; the upstreams of an urgent gang report 0.3 s after its start.

--- a/src/fleet/decide/place.rs
+++ b/src/fleet/decide/place.rs
@@ -1,6 +1,6 @@
 //! Chooses upstreams for tasks: close to their data, gangs on one rack, single tasks by best fit.
 
-use super::speed::Tier;
+use super::speed::Preference;
 use super::trust::Risk;
 use crate::fleet::model::ResourceAmounts;
 use crate::fleet::model::Step;
@@ -27,8 +27,8 @@
     pub(in crate::fleet) open: bool,
     /// How likely it is to fail new work.
     pub(in crate::fleet) risk: Risk,
-    /// How slow it is.
-    pub(in crate::fleet) tier: Tier,
+    /// How work prefers it for its speed.
+    pub(in crate::fleet) speed: Preference,
 }
 
 impl Candidate {
@@ -85,7 +85,13 @@
 
     /// Returns the order in which the step prefers upstreams, lowest first.
     fn preference(&self, candidate: &Candidate) -> (Risk, u8) {
-        (candidate.risk, candidate.tier.preference(self.urgent))
+        let speed = candidate.speed;
+        let level = if self.urgent {
+            speed.urgent
+        } else {
+            speed.patient
+        };
+        (candidate.risk, level)
     }
 
     fn accepts(&self, index: usize, candidate: &Candidate) -> bool {
@@ -335,8 +341,10 @@
             .iter()
             .filter(|at| candidates[**at].risk > Risk::Usual);
         let risky = risky.count();
-        let tiers = found.iter().map(|at| candidates[*at].tier);
-        let slowest = tiers.max().map(|tier| tier.preference(constraints.urgent));
+        let levels = found
+            .iter()
+            .map(|at| constraints.preference(&candidates[*at]).1);
+        let slowest = levels.max();
         let open = group.iter().filter_map(|&index| free(index));
         let left: u64 = open.map(|room| room.accelerators).sum();
         Some(((risky, slowest, left), found))
--- a/src/fleet/decide/predict.rs
+++ b/src/fleet/decide/predict.rs
@@ -3,6 +3,7 @@
 //! Callers' estimates may be off by a factor of almost two, while tasks of one queue and image take
 //! similar times: after a few ends, the mean of past durations is the better prediction.
 
+use super::millis;
 use crate::fleet::model::Step;
 use crate::prelude::*;
 use std::collections::HashMap;
@@ -40,7 +41,7 @@
         });
         stats.count += 1.0;
         let weight = (1.0 / stats.count).max(NEWEST_WEIGHT);
-        stats.mean_ms += (as_f64(ms) - stats.mean_ms) * weight;
+        stats.mean_ms += (millis(ms) - stats.mean_ms) * weight;
     }
 
     fn stats(&self, queue: &Name, step: &Step) -> Option<&Stats> {
@@ -49,7 +50,7 @@
 
     /// Predicts how long a task of `step` takes, in milliseconds.
     pub(in crate::fleet) fn predict(&self, queue: &Name, step: &Step) -> u64 {
-        let estimate = as_f64(step.estimate_ms.max(1));
+        let estimate = millis(step.estimate_ms.max(1));
         let Some(stats) = self.stats(queue, step) else {
             return step.estimate_ms.max(1);
         };
@@ -58,12 +59,6 @@
     }
 }
 
-/// Converts milliseconds, capped at `u32::MAX` (49 days); durations here are far below 2^52 ms, up
-/// to which `f64` is exact.
-fn as_f64(ms: u64) -> f64 {
-    u32::try_from(ms).map_or(f64::from(u32::MAX), f64::from)
-}
-
 /// Rounds down to whole milliseconds; negative values become 0, and so do values that are too large
 /// for a `Duration`.
 fn as_ms(ms: f64) -> u64 {
--- a/src/fleet/decide/speed.rs
+++ b/src/fleet/decide/speed.rs
@@ -5,6 +5,8 @@
 //! many makes urgent gangs late. The tasks of a step are alike: whatever differs between them
 //! belongs to the upstream, whereas the size of the job and its caller's estimate cancel out.
 
+use super::millis;
+
 /// The bound of an estimate and of a sample, as a binary logarithm: 16 times as slow or as fast.
 const MAX_LOG: f64 = 4.0;
 /// The weight of the assumption that an unknown upstream is as fast as usual, in samples.
@@ -14,18 +16,18 @@
 /// The time in which an estimate falls to half of its distance from the usual speed, in
 /// milliseconds, while nothing runs there.
 const HALF_LIFE_MS: f64 = 60_000.0;
-/// The tiers for each doubling of the time that work takes.
-const TIERS_PER_DOUBLING: f64 = 2.0;
-/// The tier from which an upstream counts as crawling: four times as slow as usual, which is
-/// beyond what upstreams of different kinds differ by.
-const CRAWLING_TIER: u8 = 4;
+/// The factor, compared with fast upstreams, from which one is slow: urgent work that starts at once may take
+/// about 1.5 times as long as on sound ones.
+const SLOW_FACTOR: f64 = 1.5;
+/// The factor, compared with fast upstreams, from which one crawls.
+const CRAWLING_FACTOR: f64 = 4.0;
 
 /// How much longer than usual work takes on an upstream, as far as is known.
 #[derive(Debug, Clone, Copy, Default)]
 pub(in crate::fleet) struct Slowness {
     /// The binary logarithm of the factor.
     log: f64,
-    samples: f64,
+    samples: u32,
     /// The time of the last sample, local clock.
     at: u64,
 }
@@ -35,8 +37,8 @@
     pub(in crate::fleet) fn record(&mut self, now: u64, factor: f64) {
         self.log = self.log_at(now);
         self.at = now;
-        self.samples += 1.0;
-        let weight = (1.0 / (self.samples + PRIOR_SAMPLES)).max(NEWEST_WEIGHT);
+        self.samples = self.samples.saturating_add(1);
+        let weight = (1.0 / (f64::from(self.samples) + PRIOR_SAMPLES)).max(NEWEST_WEIGHT);
         self.log += (clamp_log(factor) - self.log) * weight;
     }
 
@@ -45,9 +47,24 @@
         self.log_at(now).exp2()
     }
 
+    /// Returns whether it is clearly slower than usual; for the log.
+    pub(in crate::fleet) fn is_slow(&self, now: u64) -> bool {
+        self.factor(now) >= SLOW_FACTOR
+    }
+
+    /// Returns the number of samples.
+    pub(in crate::fleet) fn samples(&self) -> u32 {
+        self.samples
+    }
+
+    /// Returns whether anything is known of it.
+    fn is_known(&self) -> bool {
+        self.samples > 0
+    }
+
     fn log_at(&self, now: u64) -> f64 {
-        let passed = std::time::Duration::from_millis(now.saturating_sub(self.at));
-        self.log * (-passed.as_secs_f64() * 1_000.0 / HALF_LIFE_MS).exp2()
+        let passed = millis(now.saturating_sub(self.at));
+        self.log * (-passed / HALF_LIFE_MS).exp2()
     }
 }
 
@@ -59,40 +76,105 @@
     }
 }
 
-/// Returns the factor that counts as fast in a fleet with these factors: that of the quarter point,
-/// so that a few upstreams that are faster still make no others slow.
-pub(in crate::fleet) fn fast_factor(mut factors: Vec<f64>) -> f64 {
-    if factors.is_empty() {
-        return 1.0;
-    }
-    let at = factors.len() / 4;
-    let (_, fast, _) = factors.select_nth_unstable_by(at, f64::total_cmp);
-    *fast
+/// The share of slow upstreams from which a fleet has unequal kinds of upstreams, as against a few
+/// that are slow for a while.
+const UNEQUAL_SHARE: f64 = 0.2;
+
+/// How slow an upstream is beside the fast ones of its fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Tier {
+    /// About as fast as the fast ones.
+    Fast,
+    /// Nothing is known of it.
+    Unknown,
+    /// So slow that urgent work is late there.
+    Slow,
+    /// Slower than kinds of upstreams differ; or work there stands still.
+    Crawling,
+}
+
+/// The order in which work prefers an upstream for its speed, lowest first.
+///
+/// There are few levels, since a finer order takes the place of the best fit and leaves too little
+/// adjacent room for large gangs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(in crate::fleet) struct Preference {
+    /// The level for urgent work.
+    pub(in crate::fleet) urgent: u8,
+    /// The level for other work.
+    pub(in crate::fleet) patient: u8,
+}
+
+/// The level of slow upstreams for urgent work.
+const SLOW_LEVEL: u8 = 2;
+
+/// The speeds of a fleet.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::fleet) struct Speeds {
+    /// The factor that counts as fast.
+    fast: f64,
+    /// Whether many upstreams are slow.
+    unequal: bool,
 }
 
-/// How slow an upstream is beside the fast ones of its fleet; 0 is fast.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(in crate::fleet) struct Tier(u8);
-
-impl Tier {
-    /// Returns the tier of an upstream that takes `factor` times as long as usual, where the fast
-    /// ones take `fast` times as long.
-    pub(in crate::fleet) fn new(factor: f64, fast: f64) -> Self {
-        let doublings = (factor / fast).log2().clamp(0.0, MAX_LOG);
-        let steps = (doublings * TIERS_PER_DOUBLING).floor();
-        let tier = (0..u8::MAX).find(|tier| f64::from(*tier) >= steps);
-        Self(tier.unwrap_or(u8::MAX))
+impl Speeds {
+    /// Compares the upstreams of a fleet.
+    pub(in crate::fleet) fn new<'a>(all: impl Iterator<Item = &'a Slowness>, now: u64) -> Self {
+        let mut factors: Vec<f64> = all.map(|slowness| slowness.factor(now)).collect();
+        let mut speeds = Self {
+            fast: 1.0,
+            unequal: false,
+        };
+        if factors.is_empty() {
+            return speeds;
+        }
+        // Not the fastest one: a few that are faster still make no others slow.
+        let at = factors.len() / 4;
+        let (_, fast, _) = factors.select_nth_unstable_by(at, f64::total_cmp);
+        speeds.fast = *fast;
+        let slow = factors.iter().filter(|factor| {
+            let tier = speeds.tier(**factor);
+            tier == Tier::Slow
+        });
+        let (slow, all) = (count(slow.count()), count(factors.len()));
+        speeds.unequal = slow >= all * UNEQUAL_SHARE;
+        speeds
     }
 
-    /// Returns the order in which work prefers upstreams, lowest first. Urgent work takes the fast
-    /// ones, and other work leaves them to it; nothing prefers one that crawls.
-    pub(in crate::fleet) fn preference(self, urgent: bool) -> u8 {
-        if urgent || self.0 >= CRAWLING_TIER {
-            self.0
+    fn tier(&self, factor: f64) -> Tier {
+        if factor >= self.fast * CRAWLING_FACTOR {
+            Tier::Crawling
+        } else if factor >= self.fast * SLOW_FACTOR {
+            Tier::Slow
         } else {
-            CRAWLING_TIER - 1 - self.0
+            Tier::Fast
         }
     }
+
+    /// Returns how work prefers an upstream. Among unequal ones, urgent work takes those that are
+    /// known to be fast, and other work leaves them to it; otherwise all work avoids the slow ones.
+    pub(in crate::fleet) fn preference(&self, slowness: &Slowness, now: u64) -> Preference {
+        let tier = match self.tier(slowness.factor(now)) {
+            Tier::Fast if self.unequal && !slowness.is_known() => Tier::Unknown,
+            tier => tier,
+        };
+        let urgent = match tier {
+            Tier::Fast => 0,
+            Tier::Unknown => 1,
+            Tier::Slow => SLOW_LEVEL,
+            Tier::Crawling => SLOW_LEVEL + 1,
+        };
+        let patient = match tier {
+            Tier::Slow if self.unequal => 0,
+            Tier::Fast if self.unequal => 2,
+            _ => urgent,
+        };
+        Preference { urgent, patient }
+    }
+}
+
+fn count(count: usize) -> f64 {
+    u32::try_from(count).map_or(f64::from(u32::MAX), f64::from)
 }
 
 /// The progress of a run at one report.
@@ -105,7 +187,7 @@
 }
 
 /// The shortest time between two reports that tells a pace, in milliseconds.
-const MIN_SPAN_MS: u64 = 250;
+const MIN_SPAN_MS: u64 = 200;
 /// The progress assumed of a run that has not moved between two reports, in percent: progress is
 /// reported in whole percents.
 const STILL_PERCENT: f64 = 0.5;
@@ -119,41 +201,22 @@
         if span < MIN_SPAN_MS || later.percent >= 100 {
             return None;
         }
-        let span = u32::try_from(span).map_or(f64::from(u32::MAX), f64::from);
-        Some(span * 100.0 / f64::from(done).max(STILL_PERCENT))
+        Some(millis(span) * 100.0 / f64::from(done).max(STILL_PERCENT))
     }
 }
 
-/// How long the tasks of a step take at the usual speed, from the pace of those that run.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub(in crate::fleet) struct Siblings {
-    log: f64,
-    samples: f64,
-}
-
-/// The distance from the mean at which a sibling's time is cut, as a binary logarithm, so that one
-/// that stands still does not make the others look fast.
-const MAX_SIBLING_LOG: f64 = 1.0;
-/// The siblings from which their mean tells how long the work is.
-const MIN_SIBLINGS: f64 = 2.0;
-
-impl Siblings {
-    /// Records that a task takes `whole_ms` on an upstream that takes `factor` times as long as
-    /// usual; returns how many times as long as its siblings it takes, once those are known.
-    pub(in crate::fleet) fn compare(&mut self, whole_ms: f64, factor: f64) -> Option<f64> {
-        let known = self.samples >= MIN_SIBLINGS;
-        let usual = self.log;
-        let mut own = (whole_ms.max(1.0) / factor).log2();
-        if self.samples > 0.0 {
-            own = own.clamp(usual - MAX_SIBLING_LOG, usual + MAX_SIBLING_LOG);
-        }
-        self.samples += 1.0;
-        self.log += (own - self.log) / self.samples;
-        known.then(|| whole_ms.max(1.0) / usual.exp2())
-    }
-
-    /// Returns how long a task takes at the usual speed, in milliseconds, once siblings have told.
-    pub(in crate::fleet) fn usual_ms(&self) -> Option<f64> {
-        (self.samples >= MIN_SIBLINGS).then(|| self.log.exp2())
+/// The siblings from which the usual time of their work is known.
+const MIN_SIBLINGS: usize = 2;
+/// The most siblings that are compared: more would make the estimate dearer and hardly better.
+pub(in crate::fleet) const MAX_SIBLINGS: usize = 16;
+
+/// Returns how long the tasks of a step take at the usual speed, by the times of some of them, in
+/// milliseconds: the median, so that a few on slow upstreams do not count, and the shorter of two.
+pub(in crate::fleet) fn usual_ms(mut times: Vec<f64>) -> Option<f64> {
+    let middle = times.len().checked_sub(1)? / 2;
+    if times.len() < MIN_SIBLINGS {
+        return None;
     }
+    let (_, usual, _) = times.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*usual)
 }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -23,6 +23,9 @@
 /// How long room that was freed for a gang stays reserved after the time of the stop itself, in
 /// milliseconds: the end of a stopped run is reported and stored within this.
 pub(super) const RESERVATION_MS: u64 = 1_000;
+/// The time after the start of an urgent gang at which its upstreams report, in milliseconds: soon
+/// enough to start again in time if one of them is slow.
+const EARLY_REPORT_MS: u64 = 300;
 /// The utilisation below which the service counts as idle: waiting work is soon placed away from
 /// its data.
 const IDLE_SHARE: f64 = 0.5;
@@ -381,6 +384,7 @@
         };
         let step = &job.spec.steps[wait.step as usize];
         let need = step.need();
+        let urgent = step.gang && wait.queue.priority == 0;
         let shares = step.fills || step.target_ms > 0;
         let position = |index| TaskPosition {
             turn: wait.turn,
@@ -413,6 +417,7 @@
                     pace: Some(100),
                     pace_at: now,
                     seen: None,
+                    speed: None,
                 });
             }
             runs.push((at, run_id(&wait.job, position(index), number)));
@@ -436,6 +441,9 @@
                 upstream.reserve(run.clone(), need);
                 upstream.mixed |= shares;
                 upstream.report_wanted |= shares;
+                if urgent {
+                    upstream.report_at.get_or_insert(now + EARLY_REPORT_MS);
+                }
             }
             self.send_start(now, &at, &run);
         }
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -18,7 +18,9 @@
 use super::scheduler::position_of;
 use super::scheduler::run_id;
 use super::task::LiveRun;
+use super::task::Speed;
 use super::task::Stage;
+use super::task::Task;
 use super::task::TaskPosition;
 use super::timing::DECLINE_BACKOFF_MS;
 use super::timing::END_POLL_MS;
@@ -321,7 +323,8 @@
         self.save(now, &work.run, &work.saved);
     }
 
-    /// Begins to watch the speed of a run that starts from the beginning.
+    /// Begins to watch the speed of a run that starts from the beginning; members of a gang make
+    /// progress once all of them run.
     fn watch_speed(&mut self, now: u64, run: &RunId) {
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
             return;
@@ -330,8 +333,25 @@
         let resumed = job
             .task(record_position(job, position))
             .is_some_and(|task| !task.saved.is_empty());
-        let live = job.task_mut(position).and_then(|task| task.live.as_mut());
-        if let Some(live) = live.filter(|_| !resumed) {
+        let step = job.spec.steps.get(position.step as usize);
+        let gang = step.is_some_and(|step| step.gang);
+        let Some(state) = job.step_state_mut(position.turn, position.step) else {
+            return;
+        };
+        let index = position.index as usize;
+        let range = if gang {
+            0..state.tasks.len()
+        } else {
+            index..index + 1
+        };
+        let Some(tasks) = state.tasks.get_mut(range) else {
+            return;
+        };
+        let runs = |task: &Task| task.live.as_ref().is_some_and(LiveRun::is_running);
+        if resumed || !tasks.iter().all(runs) {
+            return;
+        }
+        for live in tasks.iter_mut().filter_map(|task| task.live.as_mut()) {
             live.seen = Some(Progress {
                 at: now,
                 percent: 0,
@@ -348,7 +368,8 @@
         ) else {
             return;
         };
-        let Some(step) = job.spec.steps.get(position.step as usize) else {
+        let spec = job.spec.clone();
+        let Some(step) = spec.steps.get(position.step as usize) else {
             return;
         };
         let local = step.data_rack.is_empty() || *upstream.rack == *step.data_rack;
@@ -374,9 +395,24 @@
             return;
         };
         live.seen = Some(progress);
-        let factor = upstream.slowness.factor(now);
-        if let Some(slower) = state.siblings.compare(whole_ms, factor) {
-            upstream.slowness.record(now, slower);
+        live.speed = Some(Speed {
+            whole_ms,
+            usual_ms: whole_ms / upstream.slowness.factor(now),
+        });
+        let Some(usual_ms) = state.usual_ms() else {
+            return;
+        };
+        let took = whole_ms / usual_ms;
+        let was_slow = upstream.slowness.is_slow(now);
+        upstream.slowness.record(now, took);
+        if was_slow != upstream.slowness.is_slow(now) {
+            log::info!(
+                "TG1514 upstream={at} slow={} factor={:.2} samples={} job={} took={took:.2}",
+                !was_slow,
+                upstream.slowness.factor(now),
+                upstream.slowness.samples(),
+                work.run.task.job
+            );
         }
     }
 
@@ -484,6 +520,10 @@
             let Some(upstream) = self.upstreams.get_mut(&at) else {
                 continue;
             };
+            if upstream.report_at.is_some_and(|at| at <= now) {
+                upstream.report_at = None;
+                upstream.report_wanted |= !upstream.runs.is_empty();
+            }
             match upstream.renewal(now, &self.timing) {
                 Renewal::Drop => {
                     self.upstreams.remove(&at);
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -3,8 +3,7 @@
 
 use super::decide::place::Candidate;
 use super::decide::place::Racks;
-use super::decide::speed;
-use super::decide::speed::Tier;
+use super::decide::speed::Speeds;
 use super::decide::victims::Victims;
 use super::model::ResourceAmounts;
 use super::plan::URGENT_PERCENT;
@@ -100,8 +99,7 @@
         let mut releasing = HashMap::new();
         let (mut used, mut room) = (0, 0);
         let listed = self.upstreams.values().filter(|up| up.listed);
-        let factors = listed.map(|up| up.slowness.factor(now)).collect();
-        let fast = speed::fast_factor(factors);
+        let speeds = Speeds::new(listed.map(|up| &up.slowness), now);
         let alarm = self.ends.is_alarming(now);
         let queues = self.config.iter().flat_map(|config| &config.queues);
         let services: Vec<Name> = queues.map(|queue| queue.service.clone()).collect();
@@ -128,7 +126,7 @@
                 room: upstream.listing.room,
                 open: upstream.is_open(now),
                 risk: upstream.health.risk(now, alarm),
-                tier: Tier::new(upstream.slowness.factor(now), fast),
+                speed: speeds.preference(&upstream.slowness, now),
             });
         }
         let racks = Racks::new(&candidates);
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -1,7 +1,7 @@
 //! Jobs and their tasks in memory, and the conversion to and from their stored form.
 
+use super::decide::speed;
 use super::decide::speed::Progress;
-use super::decide::speed::Siblings;
 use super::event::Phase;
 use super::model::Spec;
 use super::model::Step;
@@ -23,6 +23,15 @@
     Stopping,
 }
 
+/// The speed of a run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Speed {
+    /// How long the whole run takes at the pace of its last reports, in milliseconds.
+    pub(super) whole_ms: f64,
+    /// The same at the usual speed, as far as that of its upstream is known, in milliseconds.
+    pub(super) usual_ms: f64,
+}
+
 /// A run that may be active at an upstream.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct LiveRun {
@@ -53,6 +62,15 @@
     /// The last report of its progress that tells its speed; none before its first, if it resumed
     /// from a checkpoint.
     pub(super) seen: Option<Progress>,
+    /// Its speed, once reports have told.
+    pub(super) speed: Option<Speed>,
+}
+
+impl LiveRun {
+    /// Returns whether its upstream has confirmed that it runs, and it is not ordered to stop.
+    pub(super) fn is_running(&self) -> bool {
+        self.stage == Stage::Running
+    }
 }
 
 /// A task.
@@ -87,8 +105,24 @@
     pub(super) reserved: Option<(Vec<Name>, u64)>,
     /// When a search for work to preempt last found none, local clock.
     pub(super) searched_at: Option<u64>,
-    /// How long its tasks take, by the reports of those that run.
-    pub(super) siblings: Siblings,
+}
+
+impl StepState {
+    /// Returns how long a task takes at the usual speed, in milliseconds, once the reports of some
+    /// that run have told.
+    pub(super) fn usual_ms(&self) -> Option<f64> {
+        // One of each upstream, so that several on a slow one are no majority.
+        let mut known: Vec<(&Name, f64)> = Vec::with_capacity(speed::MAX_SIBLINGS);
+        for live in self.tasks.iter().filter_map(|task| task.live.as_ref()) {
+            let Some(speed) = live.speed else {
+                continue;
+            };
+            if known.len() < speed::MAX_SIBLINGS && known.iter().all(|(at, _)| **at != live.at) {
+                known.push((&live.at, speed.usual_ms));
+            }
+        }
+        speed::usual_ms(known.into_iter().map(|(_, usual_ms)| usual_ms).collect())
+    }
 }
 
 /// One occurrence of a job.
@@ -111,7 +145,6 @@
             ready: None,
             reserved: None,
             searched_at: None,
-            siblings: Siblings::default(),
         });
         Self {
             due,
@@ -391,6 +424,7 @@
         pace: None,
         pace_at: now,
         seen: None,
+        speed: None,
     });
     Task {
         runs: row.runs,
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -60,6 +60,8 @@
     pub(super) misses: u32,
     /// Whether to request a report without waiting for the renewal under way.
     pub(super) report_wanted: bool,
+    /// When to request a report, local clock; none for no other than the usual ones.
+    pub(super) report_at: Option<u64>,
     /// When it is polled again if it does not respond, local clock.
     pub(super) retry_at: u64,
     /// The number of the last end that is stored.
@@ -111,6 +113,7 @@
             renewed_at: 0,
             misses: 0,
             report_wanted: false,
+            report_at: None,
             retry_at: 0,
             renewal_mark: 0,
             acknowledging: 0,
