--- a/src/fleet/decide/speed.rs
+++ b/src/fleet/decide/speed.rs
@@ -105,6 +105,13 @@
     pub(in crate::fleet) patient: u8,
 }
 
+impl Preference {
+    /// Returns whether the upstream is known to be slow.
+    pub(in crate::fleet) fn is_slow(self) -> bool {
+        self.urgent >= SLOW_LEVEL
+    }
+}
+
 /// The level of slow upstreams for urgent work.
 const SLOW_LEVEL: u8 = 2;
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 mod plan;
 pub mod ports;
 mod preempt;
+mod restart;
 pub mod row;
 mod runs;
 mod scheduler;
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -399,6 +399,7 @@
             whole_ms,
             usual_ms: whole_ms / upstream.slowness.factor(now),
         });
+        let gang = step.gang;
         let Some(usual_ms) = state.usual_ms() else {
             return;
         };
@@ -414,6 +415,9 @@
                 work.run.task.job
             );
         }
+        if gang {
+            self.consider_restart(now, &work.run, usual_ms);
+        }
     }
 
     /// Keeps the checkpoint of a run; a gang's is kept at its first task.
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -105,6 +105,8 @@
     pub(super) reserved: Option<(Vec<Name>, u64)>,
     /// When a search for work to preempt last found none, local clock.
     pub(super) searched_at: Option<u64>,
+    /// How often it was started again because an upstream was slow.
+    pub(super) restarts: u32,
 }
 
 impl StepState {
@@ -145,6 +147,7 @@
             ready: None,
             reserved: None,
             searched_at: None,
+            restarts: 0,
         });
         Self {
             due,
--- a/tests/fleet/speed.rs
+++ b/tests/fleet/speed.rs
@@ -85,3 +85,30 @@
     world_share += share_in_time(&mut world);
     assert!(world_share >= 0.9, "{world_share}");
 }
+
+#[test]
+fn a_gang_that_a_crawling_upstream_holds_up_ends_in_time_elsewhere() {
+    let mut world = World::new(1, 5);
+    slow_down(&mut world, 1, &[0], 800);
+    world.work_ms.insert(format!("{:016x}", 1), WORK_MS);
+    world.submit("urgent", "key-a", 1, vec![gang(4, 8, WORK_MS)]);
+    world.pass(100);
+    let first = world.at_work(1);
+    assert!(
+        first.iter().any(|(_, _, at)| &**at == "u-0-0"),
+        "nothing is known of the crawling upstream yet"
+    );
+    world.pass(OBJECTIVE_MS - 100);
+    assert_eq!(world.phase("urgent", 1), Some(Phase::Completed));
+}
+
+#[test]
+fn a_gang_that_would_be_late_in_any_case_is_not_started_again() {
+    let mut world = World::new(1, 5);
+    slow_down(&mut world, 1, &[0, 1], 800);
+    world.work_ms.insert(format!("{:016x}", 1), WORK_MS);
+    // Every place for the whole gang has a crawling member.
+    world.submit("urgent", "key-a", 1, vec![gang(4, 8, WORK_MS)]);
+    world.pass(2 * OBJECTIVE_MS);
+    assert!(world.at_work(1).iter().all(|(_, number, _)| *number == 1));
+}
