--- a/src/fleet/restart.rs
+++ b/src/fleet/restart.rs
@@ -106,7 +106,7 @@
             .map(|&at| snapshot.candidates[at].name.clone())
             .collect();
         log::info!(
-            "TG1610 job={} step={} run={} upstream={} crawls left_ms={left_ms:.0} usual_ms={usual_ms:.0} late_in_ms={:.0} restarts={} starts again at={names:?}",
+            "TG1613 job={} step={} run={} upstream={} crawls left_ms={left_ms:.0} usual_ms={usual_ms:.0} late_in_ms={:.0} restarts={} starts again at={names:?}",
             run.task.job,
             position.step,
             run.number,
