--- a/src/fleet/decide/speed.rs
+++ b/src/fleet/decide/speed.rs
@@ -16,11 +16,25 @@
 /// The time in which an estimate falls to half of its distance from the usual speed, in
 /// milliseconds, while nothing runs there.
 const HALF_LIFE_MS: f64 = 60_000.0;
-/// The factor, compared with fast upstreams, from which one is slow: urgent work that starts at once may take
-/// about 1.5 times as long as on sound ones.
+/// The factor, compared with fast upstreams, from which one is slow: urgent work that starts at
+/// once may take about 1.5 times as long as on sound ones.
 const SLOW_FACTOR: f64 = 1.5;
 /// The factor, compared with fast upstreams, from which one crawls.
 const CRAWLING_FACTOR: f64 = 4.0;
+/// The share of slow upstreams from which a fleet has unequal kinds of upstreams, as against a few
+/// that are slow for a while.
+const UNEQUAL_SHARE: f64 = 0.2;
+/// The level of slow upstreams for urgent work.
+const SLOW_LEVEL: u8 = 2;
+/// The shortest time between two reports that tells a pace, in milliseconds.
+const MIN_SPAN_MS: u64 = 200;
+/// The progress assumed of a run that has not moved between two reports, in percent: progress is
+/// reported in whole percents.
+const STILL_PERCENT: f64 = 0.5;
+/// The siblings from which the usual time of their work is known.
+const MIN_SIBLINGS: usize = 2;
+/// The most siblings that are compared: more would make the estimate dearer and hardly better.
+pub(in crate::fleet) const MAX_SIBLINGS: usize = 16;
 
 /// How much longer than usual work takes on an upstream, as far as is known.
 #[derive(Debug, Clone, Copy, Default)]
@@ -76,10 +90,6 @@
     }
 }
 
-/// The share of slow upstreams from which a fleet has unequal kinds of upstreams, as against a few
-/// that are slow for a while.
-const UNEQUAL_SHARE: f64 = 0.2;
-
 /// How slow an upstream is beside the fast ones of its fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Tier {
@@ -112,9 +122,6 @@
     }
 }
 
-/// The level of slow upstreams for urgent work.
-const SLOW_LEVEL: u8 = 2;
-
 /// The speeds of a fleet.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::fleet) struct Speeds {
@@ -139,10 +146,9 @@
         let at = factors.len() / 4;
         let (_, fast, _) = factors.select_nth_unstable_by(at, f64::total_cmp);
         speeds.fast = *fast;
-        let slow = factors.iter().filter(|factor| {
-            let tier = speeds.tier(**factor);
-            tier == Tier::Slow
-        });
+        let slow = factors
+            .iter()
+            .filter(|factor| speeds.tier(**factor) == Tier::Slow);
         let (slow, all) = (count(slow.count()), count(factors.len()));
         speeds.unequal = slow >= all * UNEQUAL_SHARE;
         speeds
@@ -173,7 +179,7 @@
         };
         let patient = match tier {
             Tier::Slow if self.unequal => 0,
-            Tier::Fast if self.unequal => 2,
+            Tier::Fast if self.unequal => SLOW_LEVEL,
             _ => urgent,
         };
         Preference { urgent, patient }
@@ -193,12 +199,6 @@
     pub(in crate::fleet) percent: u32,
 }
 
-/// The shortest time between two reports that tells a pace, in milliseconds.
-const MIN_SPAN_MS: u64 = 200;
-/// The progress assumed of a run that has not moved between two reports, in percent: progress is
-/// reported in whole percents.
-const STILL_PERCENT: f64 = 0.5;
-
 impl Progress {
     /// Returns how long the whole run takes at the pace between two reports, in milliseconds; none
     /// if they do not tell: a run at 100% may have ended its own part long before.
@@ -212,11 +212,6 @@
     }
 }
 
-/// The siblings from which the usual time of their work is known.
-const MIN_SIBLINGS: usize = 2;
-/// The most siblings that are compared: more would make the estimate dearer and hardly better.
-pub(in crate::fleet) const MAX_SIBLINGS: usize = 16;
-
 /// Returns how long the tasks of a step take at the usual speed, by the times of some of them, in
 /// milliseconds: the median, so that a few on slow upstreams do not count, and the shorter of two.
 pub(in crate::fleet) fn usual_ms(mut times: Vec<f64>) -> Option<f64> {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -35,6 +35,7 @@
 mod scheduler;
 pub mod settings;
 mod snapshot;
+mod speeds;
 mod task;
 pub mod timing;
 mod upkeep;
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -424,13 +424,15 @@
         }
         gauge::placed(pairs.len(), now.saturating_sub(wait.since));
         if pairs.len() > 1 {
+            let speeds = pairs.iter().map(|(_, at)| snapshot.candidates[*at].speed);
             log::info!(
-                "TG1602 job={} turn={} step={} run={number} tasks={} placed at={:?} waited_ms={}",
+                "TG1602 job={} turn={} step={} run={number} tasks={} placed at={:?} slow={} waited_ms={}",
                 wait.job,
                 wait.turn,
                 wait.step,
                 runs.len(),
                 runs.iter().map(|(at, _)| &**at).collect::<Vec<_>>(),
+                speeds.filter(|speed| speed.is_slow()).count(),
                 now.saturating_sub(wait.since)
             );
         }
--- a/src/fleet/restart.rs
+++ b/src/fleet/restart.rs
@@ -28,7 +28,9 @@
             return;
         };
         let queue = config.queue(&job.queue);
-        let Some(queue) = queue.filter(|queue| queue.priority == 0) else {
+        // What the advice service allows is not known for upstreams that were never asked about.
+        let Some(queue) = queue.filter(|queue| queue.priority == 0 && queue.advice.is_none())
+        else {
             return;
         };
         let (Some(step), Some(turn), Some(state)) = (
