--- a/src/fleet/decide/mod.rs
+++ b/src/fleet/decide/mod.rs
@@ -18,3 +18,11 @@
 pub(super) fn millis(ms: u64) -> f64 {
     u32::try_from(ms).map_or(f64::from(u32::MAX), f64::from)
 }
+
+/// Rounds down to whole milliseconds; negative values become 0, and so do values that are too large
+/// for a `Duration`.
+pub(super) fn as_ms(ms: f64) -> u64 {
+    std::time::Duration::try_from_secs_f64((ms / 1_000.0).max(0.0)).map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/src/fleet/decide/predict.rs
+++ b/src/fleet/decide/predict.rs
@@ -3,6 +3,7 @@
 //! Callers' estimates may be off by a factor of almost two, while tasks of one queue and image take
 //! similar times: after a few ends, the mean of past durations is the better prediction.
 
+use super::as_ms;
 use super::millis;
 use crate::fleet::model::Step;
 use crate::prelude::*;
@@ -58,11 +59,3 @@
         as_ms(stats.mean_ms * weight + estimate * (1.0 - weight))
     }
 }
-
-/// Rounds down to whole milliseconds; negative values become 0, and so do values that are too large
-/// for a `Duration`.
-fn as_ms(ms: f64) -> u64 {
-    std::time::Duration::try_from_secs_f64((ms / 1_000.0).max(0.0)).map_or(0, |time| {
-        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/src/fleet/decide/restart.rs
+++ b/src/fleet/decide/restart.rs
@@ -1,7 +1,7 @@
-//! Whether a gang that a slow upstream holds up starts again elsewhere.
+//! Straggler mitigation: decides whether a gang starts again because one member is slow.
 //!
-//! Answers upstreams on which work crawls or stands still: a gang ends with its slowest member, and
-//! urgent work there would be late many times over. Starting again wastes what all members have
+//! Answers upstreams on which work crawls or stands still: a gang ends with its slowest member, so
+//! urgent work there would be late by far. Starting again wastes what all members have
 //! done, so it happens early in a run, or not at all.
 
 /// How many times a step of a job is started again because an upstream is slow.
@@ -14,7 +14,7 @@
 
 /// What is known of a gang's slowest run.
 #[derive(Debug, Clone, Copy)]
-pub(in crate::fleet) struct Crawl {
+pub(in crate::fleet) struct Straggler {
     /// How long the run has been at work, in milliseconds.
     pub(in crate::fleet) worked_ms: f64,
     /// How long it still takes at its pace, in milliseconds.
@@ -29,7 +29,7 @@
     pub(in crate::fleet) restarts: u32,
 }
 
-impl Crawl {
+impl Straggler {
     /// Returns whether the gang is in time if it starts again, and late by far if it does not.
     pub(in crate::fleet) fn is_worth_restart(&self) -> bool {
         let again_ms = self.stop_ms + self.usual_ms;
--- a/src/fleet/decide/speed.rs
+++ b/src/fleet/decide/speed.rs
@@ -16,8 +16,7 @@
 /// The time in which an estimate falls to half of its distance from the usual speed, in
 /// milliseconds, while nothing runs there.
 const HALF_LIFE_MS: f64 = 60_000.0;
-/// The factor, compared with fast upstreams, from which one is slow: urgent work that starts at
-/// once may take about 1.5 times as long as on sound ones.
+/// The factor, compared with fast upstreams, from which one is slow.
 const SLOW_FACTOR: f64 = 1.5;
 /// The factor, compared with fast upstreams, from which one crawls.
 const CRAWLING_FACTOR: f64 = 4.0;
@@ -31,9 +30,9 @@
 /// The progress assumed of a run that has not moved between two reports, in percent: progress is
 /// reported in whole percents.
 const STILL_PERCENT: f64 = 0.5;
-/// The siblings from which the usual time of their work is known.
+/// The fewest siblings with a known pace from which the usual time of their work is derived.
 const MIN_SIBLINGS: usize = 2;
-/// The most siblings that are compared: more would make the estimate dearer and hardly better.
+/// The most siblings that are compared, which bounds the cost of a report.
 pub(in crate::fleet) const MAX_SIBLINGS: usize = 16;
 
 /// How much longer than usual work takes on an upstream, as far as is known.
@@ -66,6 +65,11 @@
         self.factor(now) >= SLOW_FACTOR
     }
 
+    /// Returns the time since the last sample, in milliseconds.
+    pub(in crate::fleet) fn age_ms(&self, now: u64) -> u64 {
+        now.saturating_sub(self.at)
+    }
+
     /// Returns the number of samples.
     pub(in crate::fleet) fn samples(&self) -> u32 {
         self.samples
@@ -77,7 +81,7 @@
     }
 
     fn log_at(&self, now: u64) -> f64 {
-        let passed = millis(now.saturating_sub(self.at));
+        let passed = millis(self.age_ms(now));
         self.log * (-passed / HALF_LIFE_MS).exp2()
     }
 }
@@ -105,8 +109,7 @@
 
 /// The order in which work prefers an upstream for its speed, lowest first.
 ///
-/// There are few levels, since a finer order takes the place of the best fit and leaves too little
-/// adjacent room for large gangs.
+/// There are few levels: a finer order would override the best fit and fragment the free resources.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(in crate::fleet) struct Preference {
     /// The level for urgent work.
@@ -142,7 +145,7 @@
         if factors.is_empty() {
             return speeds;
         }
-        // Not the fastest one: a few that are faster still make no others slow.
+        // The first quartile, since a few unusually fast upstreams do not make the others slow.
         let at = factors.len() / 4;
         let (_, fast, _) = factors.select_nth_unstable_by(at, f64::total_cmp);
         speeds.fast = *fast;
@@ -212,8 +215,8 @@
     }
 }
 
-/// Returns how long the tasks of a step take at the usual speed, by the times of some of them, in
-/// milliseconds: the median, so that a few on slow upstreams do not count, and the shorter of two.
+/// Returns the lower median of the times that tasks of a step take, in milliseconds, which a
+/// minority on slow upstreams does not move.
 pub(in crate::fleet) fn usual_ms(mut times: Vec<f64>) -> Option<f64> {
     let middle = times.len().checked_sub(1)? / 2;
     if times.len() < MIN_SIBLINGS {
--- a/src/fleet/restart.rs
+++ b/src/fleet/restart.rs
@@ -1,10 +1,12 @@
-//! Starts urgent gangs again elsewhere that a slow upstream holds up.
+//! Starts urgent gangs again elsewhere if one of their members is on a slow upstream.
 
+use super::decide::as_ms;
 use super::decide::millis;
+use super::decide::order;
 use super::decide::place;
 use super::decide::place::Constraints;
 use super::decide::place::Racks;
-use super::decide::restart::Crawl;
+use super::decide::restart::Straggler;
 use super::decide::trust::Risk;
 use super::model::RunId;
 use super::plan::RESERVATION_MS;
@@ -62,8 +64,8 @@
             return;
         };
         let started = live.iter().map(|live| live.since).max().unwrap_or(now);
-        let objective_ms = usual_ms * queue.stretch + millis(queue.base_ms);
-        let crawl = Crawl {
+        let objective_ms = millis(order::objective_ms(queue, as_ms(usual_ms)));
+        let straggler = Straggler {
             worked_ms: millis(now.saturating_sub(started)),
             left_ms,
             usual_ms,
@@ -71,7 +73,7 @@
             late_ms: objective_ms - millis(now.saturating_sub(turn.due)),
             restarts: state.restarts,
         };
-        if !crawl.is_worth_restart() {
+        if !straggler.is_worth_restart() {
             return;
         }
         let need = step.need();
@@ -81,7 +83,10 @@
                 snapshot.candidates[index].free.add(&need);
             }
         }
-        for (_, late) in left.iter().filter(|(left_ms, _)| *left_ms > crawl.late_ms) {
+        for (_, late) in left
+            .iter()
+            .filter(|(left_ms, _)| *left_ms > straggler.late_ms)
+        {
             if let Some(&index) = snapshot.index.get(&late.at) {
                 snapshot.candidates[index].open = false;
             }
@@ -101,6 +106,15 @@
         let slow = |at: &usize| snapshot.candidates[*at].speed.is_slow();
         let found = found.filter(|chosen| !chosen.iter().any(slow));
         let Some(chosen) = found else {
+            log::info!(
+                "TG1614 job={} step={} run={} upstream={} straggles left_ms={left_ms:.0} usual_ms={usual_ms:.0} late_in_ms={:.0} worked_ms={:.0}; no place elsewhere",
+                run.task.job,
+                position.step,
+                run.number,
+                slowest.at,
+                straggler.late_ms,
+                straggler.worked_ms
+            );
             return;
         };
         let names: Vec<Name> = chosen
@@ -108,13 +122,14 @@
             .map(|&at| snapshot.candidates[at].name.clone())
             .collect();
         log::info!(
-            "TG1613 job={} step={} run={} upstream={} crawls left_ms={left_ms:.0} usual_ms={usual_ms:.0} late_in_ms={:.0} restarts={} starts again at={names:?}",
+            "TG1613 job={} step={} run={} upstream={} straggles left_ms={left_ms:.0} usual_ms={usual_ms:.0} late_in_ms={:.0} worked_ms={:.0} restarts={}; starts again at={names:?}",
             run.task.job,
             position.step,
             run.number,
             slowest.at,
-            crawl.late_ms,
-            crawl.restarts
+            straggler.late_ms,
+            straggler.worked_ms,
+            straggler.restarts
         );
         let until = now + self.timing.stop_ms + RESERVATION_MS;
         let job = self.jobs.get_mut(&run.task.job);
--- a/src/fleet/speeds.rs
+++ b/src/fleet/speeds.rs
@@ -92,11 +92,12 @@
             return;
         };
         let took = whole_ms / usual_ms;
+        let age_ms = upstream.slowness.age_ms(now);
         let was_slow = upstream.slowness.is_slow(now);
         upstream.slowness.record(now, took);
         if was_slow != upstream.slowness.is_slow(now) {
             log::info!(
-                "TG1514 upstream={at} slow={} factor={:.2} samples={} job={} took={took:.2}",
+                "TG1514 upstream={at} slow={} factor={:.2} samples={} age_ms={age_ms} job={} took={took:.2}",
                 !was_slow,
                 upstream.slowness.factor(now),
                 upstream.slowness.samples(),
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -59,10 +59,10 @@
     pub(super) pace: Option<u32>,
     /// When that share was last changed, local clock.
     pub(super) pace_at: u64,
-    /// The last report of its progress that tells its speed; none before its first, if it resumed
+    /// The report from which its pace is measured; none before the first one of a run that resumed
     /// from a checkpoint.
     pub(super) seen: Option<Progress>,
-    /// Its speed, once reports have told.
+    /// Its speed; none before two reports.
     pub(super) speed: Option<Speed>,
 }
 
@@ -110,10 +110,10 @@
 }
 
 impl StepState {
-    /// Returns how long a task takes at the usual speed, in milliseconds, once the reports of some
-    /// that run have told.
+    /// Estimates how long a task takes at the usual speed from the reports of those that run, in
+    /// milliseconds.
     pub(super) fn usual_ms(&self) -> Option<f64> {
-        // One of each upstream, so that several on a slow one are no majority.
+        // One for each upstream, so that several tasks on a slow one do not form a majority.
         let mut known: Vec<(&Name, f64)> = Vec::with_capacity(speed::MAX_SIBLINGS);
         for live in self.tasks.iter().filter_map(|task| task.live.as_ref()) {
             let Some(speed) = live.speed else {
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -60,7 +60,7 @@
     pub(super) misses: u32,
     /// Whether to request a report without waiting for the renewal under way.
     pub(super) report_wanted: bool,
-    /// When to request a report, local clock; none for no other than the usual ones.
+    /// When to request an additional report, local clock.
     pub(super) report_at: Option<u64>,
     /// When it is polled again if it does not respond, local clock.
     pub(super) retry_at: u64,
