--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -36,11 +36,13 @@
 pub mod settings;
 mod snapshot;
 mod speeds;
+mod starts;
 mod task;
 pub mod timing;
 mod upkeep;
 mod upstream;
 mod waiting;
+mod watch;
 
 pub use effect::Effect;
 pub use effect::Output;
