review(5): show that two hopeless jobs keep sound work off idle runners

Two jobs whose task fails at each start put the two idle runners of seven in quarantine, for 32 s after half a minute. The eight sound tasks of a runner that is lost then stay away, though they last and the idle runners are sound.

Evidence: run.sh (40 sound and 2 hopeless jobs, 7 machines, 7 runners, one of them lost for good). count_failure in src/fleet/ends.rs doubles the quarantine, and only a run that ends as done resets it.

--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -44,6 +44,7 @@
     work: Option<Duration>,
     gpus: u64,
     stop_at: Option<Instant>,
+    fail_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -109,6 +110,7 @@
             let causes = [
                 (run.work.map(|work| run.began + work), "done"),
                 (run.stop_at, "stopped"),
+                (run.fail_at, "failed"),
                 (Some(lapse.max(run.began)), "lapsed"),
             ];
             let first = causes
@@ -252,6 +254,18 @@
         self.record.say(format!("{}: crashed for good", self.id));
     }
 
+    /// Makes the run of a job's task that is at work here fail.
+    pub fn fail(&self, job: &str) {
+        let mut inner = self.inner.lock().unwrap();
+        let live = inner.runs.iter_mut().filter(|run| run.end.is_none());
+        for run in live.filter(|run| run.task.starts_with(job)) {
+            run.fail_at = Some(Instant::now());
+        }
+        drop(inner);
+        self.record
+            .say(format!("{}: the task of {job} fails", self.id));
+    }
+
     /// Returns all runs that began here.
     pub fn runs(&self) -> Vec<Run> {
         self.settle();
@@ -332,6 +346,7 @@
         work: number(body, "work").map(Duration::from_millis),
         gpus,
         stop_at: None,
+        fail_at: number(body, "fail").map(|ms| Instant::now() + Duration::from_millis(ms)),
     });
     inner.accept()
 }
