--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -62,6 +62,10 @@
     cut: bool,
     /// Whether it has crashed for good.
     gone: bool,
+    /// The job whose first run's orders to start are held up on their way.
+    held_job: Option<String>,
+    /// Those orders, and when they were sent.
+    held: Vec<(Value, Instant)>,
     sequence: u64,
     max_hold_ms: u64,
 }
@@ -172,6 +176,8 @@
             barred: HashMap::new(),
             cut: false,
             gone: false,
+            held_job: None,
+            held: Vec::new(),
             sequence: 0,
             max_hold_ms: site.max_hold_ms,
         };
@@ -254,6 +260,53 @@
         self.record.say(format!("{}: crashed for good", self.id));
     }
 
+    /// Holds up the orders to start the first runs of a job: they get no response.
+    pub fn hold_up(&self, job: &str) {
+        self.inner.lock().unwrap().held_job = Some(job.to_owned());
+    }
+
+    /// Returns whether an order to start was held up.
+    pub fn has_held_up(&self) -> bool {
+        !self.inner.lock().unwrap().held.is_empty()
+    }
+
+    /// Restarts the runner under its id after it was down for `down`: it knows nothing of before. The
+    /// orders that were held up reach the new process.
+    pub async fn restart(&self, down: Duration) {
+        self.settle();
+        {
+            let mut inner = self.inner.lock().unwrap();
+            inner.cut = true;
+            let now = Instant::now();
+            for run in inner.runs.iter_mut().filter(|run| run.end.is_none()) {
+                run.end = Some((now, "crashed"));
+            }
+        }
+        self.record.say(format!("{}: crashed", self.id));
+        sleep(down).await;
+        let held = {
+            let mut inner = self.inner.lock().unwrap();
+            inner.start = Instant::now();
+            inner.born = unix_ms();
+            inner.token = 0;
+            inner.lease_ms = 0;
+            inner.ended.clear();
+            inner.ends = 0;
+            inner.barred.clear();
+            inner.sequence = 0;
+            inner.cut = false;
+            inner.held_job = None;
+            std::mem::take(&mut inner.held)
+        };
+        self.record
+            .say(format!("{}: started again under its id", self.id));
+        for (body, sent) in held {
+            let response = start(&mut self.inner.lock().unwrap(), &body);
+            let late_ms = sent.elapsed().as_millis();
+            self.note(&format!("run-start, {late_ms} ms late,"), &body, &response);
+        }
+    }
+
     /// Makes the run of a job's task that is at work here fail.
     pub fn fail(&self, job: &str) {
         let mut inner = self.inner.lock().unwrap();
@@ -306,6 +359,22 @@
     Json(body): Json<Value>,
 ) -> Response {
     runner.pass().await;
+    let is_held = {
+        let mut inner = runner.inner.lock().unwrap();
+        let task = body["task"].as_str().unwrap_or_default();
+        let job = inner.held_job.as_ref();
+        let is_held = job.is_some_and(|job| task.starts_with(job.as_str())) && body["run"] == 1;
+        if is_held {
+            inner.held.push((body.clone(), Instant::now()));
+        }
+        is_held
+    };
+    if is_held {
+        runner
+            .record
+            .add(format!("{}: run-start {body} held up", runner.id));
+        std::future::pending::<()>().await;
+    }
     runner.settle();
     let response = {
         let mut inner = runner.inner.lock().unwrap();
