--- a/review/harness/run.sh
+++ b/review/harness/run.sh
@@ -1,14 +1,15 @@
 #!/bin/sh
-# Runs a case: run.sh PROGRAM FOLDER. Ends with 1 if the rule was broken, 0 if it held, and 2 if the
-# case could not run. TROUBLE=0 leaves the disruption out.
+# Runs a case: run.sh PROGRAM FOLDER [TROUBLE]. Ends with 1 if the rule was broken, 0 if it held, and 2 if
+# the case could not run. With 0 as TROUBLE, or in the variable of that name, the disruption is left out.
 set -u
 program=$1
 folder=$2
+TROUBLE=${3:-${TROUBLE:-1}}
 harness=$(cd "$(dirname "$0")" && pwd)
 CASE_ROOT=$(cd "$harness/../.." && pwd)
 CASE_RECORD="$folder/record.txt"
 CASE_TEMP=$(mktemp -d)
-export CASE_ROOT CASE_RECORD CASE_TEMP
+export CASE_ROOT CASE_RECORD CASE_TEMP TROUBLE
 finish() {
     if [ -f "$CASE_TEMP/processes" ]; then
         while read -r id; do
