fix(fleet): stop runs that an earlier leader had ordered to stop

Callers saw: a job is cancelled and the cancelling acknowledged while the upstream of its task is cut off; the lead changes before the upstream can be reached again.

Cause: only the memory of a leader says that a run is being stopped. The rows say that the job is closed and that the run is live, and `load_task` makes each live run one at work, so the next leader renews its lease. The same holds for the other runs that must not go on: of a failed job, of a task that is done, and of a gang that has lost a member.

Change: `adopt` stops the live runs that the rows themselves show as unwanted, and repeats the order until the upstream reports the end. Nothing new is stored, so rows stay as the build before writes and reads them. TG1621 names the run and the reason.

--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -155,7 +155,8 @@
         scheduler
     }
 
-    /// Adds a job that an earlier leader stored; the leases of its runs end by `lease_end`.
+    /// Adds a job that an earlier leader stored; the leases of its runs end by `lease_end`. Runs that
+    /// must not go on are stopped.
     pub(super) fn adopt(&mut self, job: Job, now: u64, lease_end: u64) {
         for position in job.live() {
             let Some(live) = job.task(position).and_then(|task| task.live.as_ref()) else {
@@ -188,7 +189,28 @@
                 }
             }
         }
-        self.jobs.insert(job.id.clone(), job);
+        let unwanted = job.unwanted();
+        let id = job.id.clone();
+        self.jobs.insert(id.clone(), job);
+        for (position, why) in unwanted {
+            self.stop_inherited(now, &id, position, why);
+        }
+    }
+
+    fn stop_inherited(&mut self, now: u64, id: &Name, position: TaskPosition, why: &str) {
+        let task = self.jobs.get(id).and_then(|job| job.task(position));
+        let Some(live) = task.and_then(|task| task.live.as_ref()) else {
+            return;
+        };
+        log::info!(
+            "TG1621 job={id} step={} index={} run={} upstream={} born={} of an earlier leader is stopped: {why}",
+            position.step,
+            position.index,
+            live.number,
+            live.at,
+            live.born
+        );
+        self.stop(id, position, now);
     }
 
     /// Handles one event; its effects and rows are collected until [`Scheduler::finish`].
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -336,6 +336,26 @@
         found
     }
 
+    /// Returns the live runs that must not go on, each with the reason. The order to stop one may
+    /// have been lost with the leader that owed it.
+    pub(super) fn unwanted(&self) -> Vec<(TaskPosition, &'static str)> {
+        let why = |position: &TaskPosition| {
+            if self.closed.is_some() {
+                return Some("job closed");
+            }
+            if self.task(*position)?.done {
+                return Some("task done");
+            }
+            let gang = self.spec.steps.get(position.step as usize)?.gang;
+            let state = self.step_state(position.turn, position.step)?;
+            let whole = state.tasks.iter().all(|task| task.live.is_some());
+            (gang && !whole).then_some("gang incomplete")
+        };
+        let live = self.live().into_iter();
+        live.filter_map(|position| Some((position, why(&position)?)))
+            .collect()
+    }
+
     /// Counts the tasks of a long-running step that are not serving.
     fn unavailable(&self, position: TaskPosition) -> u32 {
         let step = self.step_state(position.turn, position.step);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod fake;
 mod flaky;
 mod guarantees;
+mod handover;
 mod lasting;
 mod load;
 mod once;
--- a/tests/fleet_hazards/calamity.rs
+++ b/tests/fleet_hazards/calamity.rs
@@ -146,6 +146,10 @@
         };
         if ask == Ask::Cancel {
             if !self.jobs[job].accepted {
+                // A lasting job would never be over.
+                if self.jobs[job].is_lasting() && !self.jobs[job].is_over() {
+                    self.after(POLL_MS, Action::Call(job, ask));
+                }
                 return;
             }
             self.jobs[job].cancelled = true;
--- a/tests/fleet_hazards/hazards.rs
+++ b/tests/fleet_hazards/hazards.rs
@@ -44,6 +44,8 @@
     Failing,
     /// The probability that a job is cancelled.
     Cancel,
+    /// The probability that a job lasts until it is cancelled.
+    Lasting,
     /// The probability that the upstreams of a world accept starts beyond their capacity.
     Unguarded,
     /// The probability that the upstreams of a world forget ends up to the highest acknowledged
@@ -54,7 +56,7 @@
 }
 
 /// All hazards with their names.
-pub(crate) const ALL: [(Hazard, &str); 22] = [
+pub(crate) const ALL: [(Hazard, &str); 23] = [
     (Hazard::SameId, "same_id"),
     (Hazard::NewId, "new_id"),
     (Hazard::LateEntry, "late_entry"),
@@ -74,6 +76,7 @@
     (Hazard::Deadly, "deadly"),
     (Hazard::Failing, "failing"),
     (Hazard::Cancel, "cancel"),
+    (Hazard::Lasting, "lasting"),
     (Hazard::Unguarded, "unguarded"),
     (Hazard::Remember, "remember"),
     (Hazard::ShortReport, "short_report"),
@@ -110,6 +113,7 @@
             .with(Hazard::SlowAppend, 0.02)
             .with(Hazard::Failing, 0.02)
             .with(Hazard::Cancel, 0.06)
+            .with(Hazard::Lasting, 0.05)
             .with(Hazard::Unguarded, 0.5)
             .with(Hazard::ShortReport, 0.3)
     }
--- a/tests/fleet_hazards/jobs.rs
+++ b/tests/fleet_hazards/jobs.rs
@@ -23,6 +23,10 @@
 const JOBS: u64 = 40;
 /// When the last job is submitted, in milliseconds.
 const LAST_MS: u64 = 34_000;
+/// When the last lasting job is cancelled, in milliseconds: shortly before the last hazards.
+const LAST_CANCEL_MS: u64 = 37_000;
+/// How long a lasting task runs if it is not stopped, in milliseconds.
+const LASTING_MS: u64 = 10_000_000;
 
 /// A job, and what its caller knows of it.
 #[derive(Debug)]
@@ -70,7 +74,11 @@
         let deadly = self.deadly == Some((run.task.step, run.task.index));
         Work {
             need: step.need(),
-            whole_ms: step.estimate_ms * each.range(60, 140) / 100,
+            whole_ms: if step.long_running {
+                LASTING_MS
+            } else {
+                step.estimate_ms * each.range(60, 140) / 100
+            },
             gang: step.gang,
             checkpointing: step.checkpointing,
             crash_ms: deadly.then(|| every.range(100, 1_500)),
@@ -84,6 +92,11 @@
         !waits || !self.accepted && self.refusals >= MAX_REFUSALS
     }
 
+    /// Returns whether it lasts until it is cancelled.
+    pub(crate) fn is_lasting(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.long_running)
+    }
+
     /// Returns whether it must be completed at the end.
     pub(crate) fn is_owed(&self) -> bool {
         self.accepted && self.deadly.is_none() && self.cancel_at.is_none()
@@ -105,6 +118,16 @@
             });
             let cancelled = random.chance(hazards.of(Hazard::Cancel));
             let cancel_at = cancelled.then(|| submit_at + random.range(300, 4_000));
+            // Drawn apart, so that the other jobs of a seed stay the same.
+            let mut apart = Random::new(seed, 1_000 + number);
+            let lasts = apart.chance(hazards.of(Hazard::Lasting));
+            let deadly = deadly.filter(|_| !lasts);
+            let (steps, cancel_at) = if lasts {
+                let cancel = apart.range(submit_at + 1_500, LAST_CANCEL_MS);
+                (vec![lasting(&mut apart)], Some(cancel))
+            } else {
+                (steps, cancel_at)
+            };
             Job {
                 id: format!("{number:016x}").into(),
                 queue,
@@ -129,6 +152,18 @@
         .collect()
 }
 
+fn lasting(random: &mut Random) -> Step {
+    Step {
+        count: u32::try_from(random.range(1, 4)).unwrap(),
+        cpu: 1_000,
+        memory: 1_000,
+        accelerators: 1,
+        estimate_ms: 1_000,
+        long_running: true,
+        ..Step::default()
+    }
+}
+
 fn steps(random: &mut Random) -> Vec<Step> {
     let step = |random: &mut Random, count: u64, longest: u64| Step {
         count: u32::try_from(count).unwrap(),
--- a/tests/fleet_hazards/main.rs
+++ b/tests/fleet_hazards/main.rs
@@ -125,3 +125,13 @@
         .with(Hazard::NewId, 0.2);
     run_worlds(seeds(0..20), &adjusted(hazards));
 }
+
+/// Guards against tasks of a cancelled job that a next leader adopts as work.
+#[test]
+fn no_cancelled_task_lasts_whoever_leads() {
+    let hazards = Hazards::all()
+        .with(Hazard::Cut, 2.0)
+        .with(Hazard::Kill, 2.0)
+        .with(Hazard::Lasting, 0.3);
+    run_worlds(seeds(75..115), &adjusted(hazards));
+}
--- a/tests/fleet_hazards/world.rs
+++ b/tests/fleet_hazards/world.rs
@@ -22,6 +22,7 @@
 use trefoilgauge::fleet::Event;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::row::Row;
+use trefoilgauge::prelude::*;
 
 /// The Unix time at time 0 of a world, in milliseconds.
 pub(crate) const WALL_MS: u64 = 1_700_000_000_000;
@@ -33,6 +34,9 @@
 const END_MS: u64 = 160_000;
 /// The limit on the ends in one report where it is low: large enough for a few tasks at a time.
 const SHORT_REPORT_ENDS: usize = 2;
+/// How long a run of a cancelled job may be at work after its start or the end of all hazards, in
+/// milliseconds: `contact-ms`, `cancel_ms` and `stop-ms` of the users' smallest site.
+const CANCELLED_RUN_MS: u64 = 3_000 + 3_000 + 200;
 /// The number of upstreams.
 const SLOTS: usize = 6;
 
@@ -266,9 +270,28 @@
         }
     }
 
+    /// Checks that no run of a cancelled job is left.
+    fn judge_cancelled(&mut self) {
+        let shown = |job: &&Job| job.shown == Some(Phase::Cancelled);
+        let cancelled: Vec<&Name> = self.jobs.iter().filter(shown).map(|job| &job.id).collect();
+        let processes = self.slots.iter().filter_map(|slot| slot.process.as_ref());
+        let runs = processes.flat_map(|process| process.runs.iter().map(move |run| (process, run)));
+        for (process, ((task, number), run)) in runs {
+            let due = run.start.max(CALM_MS) + CANCELLED_RUN_MS;
+            if due < self.now && cancelled.contains(&&task.job) {
+                let what = format!(
+                    "run {number} is at work at {}, its job was cancelled",
+                    process.id
+                );
+                self.checks.report("UNASKED", self.now, task, what);
+            }
+        }
+    }
+
     /// Checks what must hold at the end, after the calm.
     fn judge_end(&mut self) {
         let now = self.now;
+        self.judge_cancelled();
         for job in &self.jobs {
             let tasks = job.tasks();
             let id = &job.id;
