fix(fleet): keep the terms that a job was accepted with

Cause: a job stores the name of its queue only, and planning skips a job whose name the configuration in force does not have. Related paths look the queue up in the same way: a task of such a job may fail without end, as no limit of attempts is found; it counts as work of priority 0 that cannot be preempted; it is missing in the backlog and in the number of jobs that wait.

Change: a job keeps its queue as it was when it was accepted (`terms`), in memory and in its fixed row. The configuration in force comes first while it names the queue. A removed queue's jobs count as waiting in the queue that serves their path now. The fixed row is written once, which withdrawals rely on, so a job that an earlier build stored gets its terms with its changing row (TG1211, TG1212). Both are additions that the build before ignores; if it rewrites the changing row, the next leader adds the terms again.

--- a/src/fleet/admit.rs
+++ b/src/fleet/admit.rs
@@ -45,7 +45,7 @@
         };
         let open = self.open.iter().filter_map(|id| self.jobs.get(id));
         let before = open.filter(|job| {
-            let other = config.queue(&job.queue);
+            let other = job.queue_in(config);
             other.is_some_and(|other| {
                 other.service == queue.service && other.priority <= queue.priority
             })
--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -71,7 +71,7 @@
     fn answer(&mut self, now: u64, (queue, workspace, rest): Routed, what: Call) -> Reply {
         if rest.is_empty() {
             return match what.operation {
-                Operation::State => Reply::Waiting(self.waiting(&queue.name)),
+                Operation::State => Reply::Waiting(self.waiting(&queue)),
                 _ => Reply::Bad("the path names no job".to_owned()),
             };
         }
@@ -147,6 +147,8 @@
         let job = Job {
             id: id.clone(),
             queue: queue.name.clone(),
+            terms: Some(queue.clone()),
+            lacks_terms: false,
             workspace,
             text: spec.text.as_str().into(),
             spec,
@@ -200,11 +202,14 @@
     }
 
     /// Counts the open jobs of a queue of which no task has started.
-    fn waiting(&self, queue: &str) -> u64 {
+    fn waiting(&self, queue: &Queue) -> u64 {
+        let Some(config) = &self.config else {
+            return 0;
+        };
         let is_queued = |id: &&Name| {
             self.jobs
                 .get(*id)
-                .is_some_and(|job| &*job.queue == queue && !job.begun)
+                .is_some_and(|job| !job.begun && job.is_of(queue, config))
         };
         self.open.iter().filter(is_queued).count() as u64
     }
--- a/src/fleet/discovery.rs
+++ b/src/fleet/discovery.rs
@@ -22,11 +22,42 @@
                 config.queues.len(),
                 config.keys.len()
             );
+            self.add_terms(&config);
             self.config = Some(config);
             self.changed = true;
         }
     }
 
+    /// Gives the open jobs that an earlier build stored the terms that it would apply now, and stores
+    /// them: the queue may be removed later.
+    fn add_terms(&mut self, config: &Config) {
+        let (mut added, mut missing) = (0, Vec::new());
+        for id in &self.open {
+            let Some(job) = self.jobs.get_mut(id).filter(|job| job.terms.is_none()) else {
+                continue;
+            };
+            let Some(queue) = config.queue(&job.queue) else {
+                missing.push(id);
+                continue;
+            };
+            job.terms = Some(queue.clone());
+            self.dirty.insert(id.clone());
+            added += 1;
+        }
+        let version = config.version;
+        if added > 0 {
+            log::info!(
+                "TG1211 jobs={added} of an earlier build keep their terms version={version}"
+            );
+        }
+        if let Some(first) = missing.first() {
+            log::warn!(
+                "TG1212 jobs={} first={first} of an earlier build wait for a configuration with their queue version={version}",
+                missing.len()
+            );
+        }
+    }
+
     /// Replaces the set of evacuated data centres: upstreams in `centres` get no new work, all
     /// others may get it again.
     pub(super) fn evacuated(&mut self, centres: BTreeSet<Name>) {
--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -300,7 +300,7 @@
         let attempts = self
             .jobs
             .get(&run.task.job)
-            .and_then(|job| self.config.as_ref()?.queue(&job.queue))
+            .and_then(|job| job.queue_in(self.config.as_ref()?))
             .map_or(u32::MAX, |queue| queue.attempts.max(1));
         let long_running = self
             .step_of(&run.task)
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -146,7 +146,7 @@
                     continue;
                 };
                 let position = position_of(&run.task);
-                let priority = config.queue(&job.queue).map_or(0, |queue| queue.priority);
+                let priority = job.queue_in(config).map_or(0, |queue| queue.priority);
                 let live = job.task(position).and_then(|task| task.live.as_ref());
                 let Some(live) = live.filter(|live| live.stage != Stage::Stopping) else {
                     continue;
--- a/src/fleet/restart.rs
+++ b/src/fleet/restart.rs
@@ -29,7 +29,7 @@
         let Some(job) = job.filter(|job| job.closed.is_none()) else {
             return;
         };
-        let queue = config.queue(&job.queue);
+        let queue = job.queue_in(&config);
         // What the advice service allows is not known for upstreams that were never asked about.
         let Some(queue) = queue.filter(|queue| queue.priority == 0 && queue.advice.is_none())
         else {
--- a/src/fleet/row.rs
+++ b/src/fleet/row.rs
@@ -29,6 +29,53 @@
     /// The nonce of the call that submitted it.
     #[prost(fixed64, tag = "5")]
     pub nonce: u64,
+    /// The queue as it was when the job was accepted; none in rows of earlier builds.
+    #[prost(message, optional, tag = "6")]
+    pub terms: Option<TermsRow>,
+}
+
+/// What a queue promised a job when it was accepted; the fields are those of
+/// [`Queue`](super::model::Queue).
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TermsRow {
+    /// The host of its calls.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// The path prefix of its calls.
+    #[prost(string, tag = "2")]
+    pub prefix: String,
+    /// The service whose upstreams run its tasks.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// Its priority.
+    #[prost(uint32, tag = "4")]
+    pub priority: u32,
+    /// How often a task may fail.
+    #[prost(uint32, tag = "5")]
+    pub attempts: u32,
+    /// The factor of the latency objective.
+    #[prost(double, tag = "6")]
+    pub stretch: f64,
+    /// The constant part of the latency objective, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub base_ms: u64,
+    /// Whether calls are accepted without a key.
+    #[prost(bool, tag = "8")]
+    pub public: bool,
+    /// How long the external advice service takes; none if the queue needs no advice.
+    #[prost(message, optional, tag = "9")]
+    pub advice: Option<AdviceRow>,
+}
+
+/// How long the external advice service takes, in milliseconds.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct AdviceRow {
+    /// The fixed time of each call.
+    #[prost(uint64, tag = "1")]
+    pub decide_ms: u64,
+    /// The additional time for each upstream.
+    #[prost(uint64, tag = "2")]
+    pub each_ms: u64,
 }
 
 /// The part of a job that changes.
@@ -56,6 +103,10 @@
     /// 0 or missing if unknown. Builds without this field drop it when they rewrite the row.
     #[prost(uint64, repeated, tag = "7")]
     pub born: Vec<u64>,
+    /// The terms of a job whose [`JobRow`] has none: that row is written only once. Builds without
+    /// this field drop it when they rewrite the row.
+    #[prost(message, optional, tag = "8")]
+    pub terms: Option<TermsRow>,
 }
 
 /// The largest value of [`StateRow::closed`].
--- a/src/fleet/stored.rs
+++ b/src/fleet/stored.rs
@@ -2,9 +2,13 @@
 
 use super::decide::crash::Losses;
 use super::event::Phase;
+use super::model::Advice;
+use super::model::Queue;
+use super::row::AdviceRow;
 use super::row::JobRow;
 use super::row::StateRow;
 use super::row::TaskRow;
+use super::row::TermsRow;
 use super::row::TurnRow;
 use super::task::Job;
 use super::task::LiveRun;
@@ -28,14 +32,21 @@
             wall_ms: self.wall_ms,
             spec: Some((*self.spec).clone()),
             nonce: self.nonce,
+            terms: self.terms.as_deref().map(terms_row),
         }
     }
 
+    fn late_terms(&self) -> Option<TermsRow> {
+        let terms = self.terms.as_deref().filter(|_| self.lacks_terms);
+        terms.map(terms_row)
+    }
+
     /// Returns the stored form of the part that changes; `wall_ms` is the Unix time at `now`.
     pub(super) fn state_row(&self, now: u64, wall_ms: u64) -> StateRow {
         let mut row = StateRow {
             next_turn: self.next_turn,
             begun: self.begun,
+            terms: self.late_terms(),
             ..StateRow::default()
         };
         if let Some((phase, at)) = self.closed {
@@ -68,10 +79,15 @@
             born: row.born,
         };
         let spec = Arc::new(fixed.spec.unwrap_or_default());
+        let lacks_terms = fixed.terms.is_none();
+        let terms = fixed.terms.or(row.terms);
+        let terms = terms.map(|terms| load_terms(&fixed.queue, terms));
         let age = |then: u64| now.saturating_sub(wall_ms.saturating_sub(then).min(MAX_AGE_MS));
         let mut job = Self {
             id: id.into(),
             queue: fixed.queue.into(),
+            terms: terms.map(Arc::new),
+            lacks_terms,
             workspace: fixed.workspace.into(),
             text: spec.text.as_str().into(),
             spec,
@@ -115,6 +131,41 @@
     born: Vec<u64>,
 }
 
+fn terms_row(queue: &Queue) -> TermsRow {
+    TermsRow {
+        host: queue.host.to_string(),
+        prefix: queue.prefix.to_string(),
+        service: queue.service.to_string(),
+        priority: queue.priority,
+        attempts: queue.attempts,
+        stretch: queue.stretch,
+        base_ms: queue.base_ms,
+        public: queue.public,
+        advice: queue.advice.map(|advice| AdviceRow {
+            decide_ms: advice.decide_ms,
+            each_ms: advice.each_ms,
+        }),
+    }
+}
+
+fn load_terms(name: &str, row: TermsRow) -> Queue {
+    Queue {
+        name: name.into(),
+        host: row.host.into(),
+        prefix: row.prefix.into(),
+        service: row.service.into(),
+        priority: row.priority,
+        attempts: row.attempts,
+        stretch: row.stretch,
+        base_ms: row.base_ms,
+        public: row.public,
+        advice: row.advice.map(|advice| Advice {
+            decide_ms: advice.decide_ms,
+            each_ms: advice.each_ms,
+        }),
+    }
+}
+
 fn task_row(task: &Task, upstreams: &mut Vec<String>, born: &mut Vec<u64>) -> TaskRow {
     let at = task.live.as_ref().map_or(0, |live| {
         let mut known = upstreams.iter().zip(&*born);
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -4,6 +4,8 @@
 use super::decide::speed;
 use super::decide::speed::Progress;
 use super::event::Phase;
+use super::model::Config;
+use super::model::Queue;
 use super::model::Spec;
 use super::model::Step;
 use crate::prelude::*;
@@ -232,6 +234,11 @@
     pub(super) id: Name,
     /// The queue.
     pub(super) queue: Name,
+    /// The queue as it was when the job was accepted; none if an earlier build stored the job, until
+    /// a configuration names the queue.
+    pub(super) terms: Option<Arc<Queue>>,
+    /// Whether its fixed row has no terms, so that they are stored with its state.
+    pub(super) lacks_terms: bool,
     /// The workspace.
     pub(super) workspace: Name,
     /// The job as submitted.
@@ -271,6 +278,19 @@
 }
 
 impl Job {
+    /// Returns its queue: as `config` has it, or else as it was when the job was accepted.
+    pub(super) fn queue_in<'a>(&'a self, config: &'a Config) -> Option<&'a Arc<Queue>> {
+        config.queue(&self.queue).or(self.terms.as_ref())
+    }
+
+    /// Returns whether it belongs to `queue`, which is in force as `config` says: by name, or by the
+    /// path at which it was submitted if its own queue was removed.
+    pub(super) fn is_of(&self, queue: &Queue, config: &Config) -> bool {
+        let same_path = |terms: &Queue| terms.host == queue.host && terms.prefix == queue.prefix;
+        self.queue == queue.name
+            || config.queue(&self.queue).is_none() && self.terms.as_deref().is_some_and(same_path)
+    }
+
     /// Returns the number of occurrences.
     pub(super) fn times(&self) -> u32 {
         self.spec.times.max(1)
--- a/src/fleet/waiting.rs
+++ b/src/fleet/waiting.rs
@@ -42,8 +42,7 @@
             .iter()
             .filter_map(|id| self.jobs.get(id))
             .filter(|job| {
-                config
-                    .queue(&job.queue)
+                job.queue_in(config)
                     .is_some_and(|queue| queue.priority == 0)
             })
             .collect();
@@ -79,7 +78,7 @@
                 idle.push(id.clone());
                 continue;
             };
-            let Some(queue) = config.queue(&job.queue) else {
+            let Some(queue) = job.queue_in(config).cloned() else {
                 continue;
             };
             let before = found.len();
@@ -89,11 +88,11 @@
             } else {
                 (false, false)
             };
-            let chain = order::chain_ms(&self.durations, queue, &job.spec);
+            let chain = order::chain_ms(&self.durations, &queue, &job.spec);
             let spec = job.spec.clone();
             for (&turn_number, turn) in &mut job.turns {
                 let ready: Vec<bool> = spec.steps.iter().map(|step| turn.is_ready(step)).collect();
-                let objective = turn.due + order::objective_ms(queue, chain);
+                let objective = turn.due + order::objective_ms(&queue, chain);
                 for (number, step) in (0..).zip(&spec.steps) {
                     let at = number as usize;
                     let state = &mut turn.steps[at];
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -23,6 +23,7 @@
 mod speed;
 mod stale;
 mod steps;
+mod terms;
 mod timed;
 mod unreadable;
 mod upkeep;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -54,6 +54,8 @@
     pub scheduler: Scheduler,
     pub now: u64,
     pub rows: BTreeMap<String, Vec<u8>>,
+    /// The configuration in force.
+    pub config: Arc<Config>,
     pub upstreams: BTreeMap<Name, FakeUpstream>,
     pub begun: Vec<Begun>,
     /// The number of orders to pace a run.
@@ -169,6 +171,7 @@
             scheduler,
             now,
             rows: BTreeMap::new(),
+            config: Arc::new(config(1, 16)),
             upstreams: BTreeMap::new(),
             begun: Vec::new(),
             paces: 0,
@@ -195,7 +198,7 @@
                 world.upstreams.insert(fake.listing.id.clone(), fake);
             }
         }
-        world.tell(Event::Config(Arc::new(config(1, 16))));
+        world.tell(Event::Config(world.config.clone()));
         world.list();
         world
     }
@@ -263,10 +266,19 @@
             fake.holds.clear();
         }
         self.scheduler = Scheduler::load(timing(), rows, self.now, WALL_MS + self.now, 16_000);
-        self.tell(Event::Config(Arc::new(config(1, 16))));
+        self.tell(Event::Config(self.config.clone()));
         self.list();
     }
 
+    /// Puts a new version of the configuration in force, changed by `change`.
+    pub(crate) fn configure(&mut self, change: impl FnOnce(&mut Config)) {
+        let mut config = (*self.config).clone();
+        config.version += 1;
+        change(&mut config);
+        self.config = Arc::new(config);
+        self.tell(Event::Config(self.config.clone()));
+    }
+
     /// Submits a job with these steps and returns the reply.
     pub(crate) fn submit(
         &mut self,
@@ -337,6 +349,24 @@
         }
     }
 
+    /// Returns the number of jobs that wait in a queue.
+    pub(crate) fn waiting(&mut self, queue: &str) -> u64 {
+        self.calls += 1;
+        let call = self.calls;
+        let what = Call {
+            host: "host".to_owned(),
+            path: format!("/{queue}/"),
+            key: "key-a".to_owned(),
+            operation: Operation::State,
+            nonce: 0,
+        };
+        self.tell(Event::Called { call, what });
+        match self.replies.remove(&call) {
+            Some(Reply::Waiting(count)) => count,
+            other => panic!("{other:?}"),
+        }
+    }
+
     /// Passes an event to the scheduler, and carries out the effects.
     pub(crate) fn tell(&mut self, event: Event) {
         self.scheduler.step(self.now, event);
