fix(fleet): shorten the wait for leases once earlier leaders have ended

Callers saw: an upstream is lost for good and the leader is killed at about the same time.

Cause: a new leader waits for the last order that an earlier one may send, 7 s after its lead was last confirmed, and for the lease that this order carries, 4.8 s on a slow clock. It counts both from its own start, for all that the earlier leaders may do, though the last one is dead and those before it were waited for already: what a leader has waited for is in its memory alone.

Change: the 7 s are left out only where it is certain that no order is sent any more. The leader before has certainly ended if it recorded the lead as vacant, which it does after its engine has stopped, or if its VM runs another process at the same address: an address is held from the start of a process to its end. The claim names the leader before (`LeaderRow.before`), a VM's hello its address and process. The leaders before that one have ended if it has stored so (row `leaders`), which each leader does as soon as it knows or has waited. The lease itself is always waited for. An earlier build writes and reads none of these: after a leader of it, and while its VM is not back, the whole wait stands.

Two of the four new tests of tests/fleet/handover.rs failed before; the other two guard the wait where the proof is missing.

--- a/src/fleet/election/area.rs
+++ b/src/fleet/election/area.rs
@@ -1,10 +1,13 @@
 //! The rows of the store's `Lead` area, which records who leads.
 
+use super::Member;
 use crate::fleet::ports::Rows;
 use crate::fleet::row::Row;
 use crate::prelude::*;
 use prost::Message;
 
+/// The epoch of the first claim.
+const FIRST_EPOCH: u64 = 1;
 const LEADER_KEY: &str = "leader";
 const CHALLENGE_KEY: &str = "doubt";
 const ANSWER_KEY: &str = "answer";
@@ -33,6 +36,46 @@
     /// The VM that is to claim the vacant lead; empty if none was chosen.
     #[prost(string, tag = "7")]
     pub successor: String,
+    /// The leader before this one; none before the first change, and in rows of earlier builds.
+    #[prost(message, optional, tag = "8")]
+    pub before: Option<Predecessor>,
+}
+
+/// The leader before another one.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Predecessor {
+    /// The VM's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Where other VMs reached it.
+    #[prost(string, tag = "2")]
+    pub addr: String,
+    /// A number that identifies the process.
+    #[prost(uint64, tag = "3")]
+    pub boot: u64,
+    /// Whether it had given up the lead before it was replaced.
+    #[prost(bool, tag = "4")]
+    pub vacant: bool,
+}
+
+impl Predecessor {
+    /// Returns whether the process has ended, as `member` is a later one: a VM runs one process at a
+    /// time, which holds its address from its start to its end.
+    pub fn is_replaced_by(&self, member: &Member) -> bool {
+        let known = member.boot != 0 && self.boot != 0;
+        known && *member.name == *self.name && member.addr == self.addr && member.boot != self.boot
+    }
+}
+
+impl LeaderRow {
+    /// Returns whether no earlier leader can send orders any more that were decided on after the
+    /// claim: it had given up the lead, or there was none.
+    pub fn succeeds_none(&self) -> bool {
+        match &self.before {
+            Some(before) => before.vacant,
+            None => self.epoch == FIRST_EPOCH,
+        }
+    }
 }
 
 /// A challenge or an answer: the number of the leader's answers in an epoch.
--- a/src/fleet/election/members.rs
+++ b/src/fleet/election/members.rs
@@ -4,6 +4,7 @@
 //! which send heartbeats more often, detect it early and claim the lead; the others wait for the
 //! claim.
 
+use super::Predecessor;
 use crate::prelude::*;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -22,6 +23,10 @@
     pub cpu_milli: u64,
     /// Whether it could lead: it reaches the store, and is not shutting down.
     pub eligible: bool,
+    /// Where other VMs reach it; empty if an earlier build runs there.
+    pub addr: String,
+    /// A number that identifies its process; 0 if an earlier build runs there.
+    pub boot: u64,
 }
 
 /// The VMs connected to this one, by connection.
@@ -63,6 +68,12 @@
         self.last_contact
     }
 
+    /// Returns whether a later process of the VM that led before is connected.
+    pub fn have_replaced(&self, before: &Predecessor) -> bool {
+        let mut all = self.all.values();
+        all.any(|(member, _)| before.is_replaced_by(member))
+    }
+
     /// Returns whether the VM at the other end of a connection is a deputy.
     pub fn is_deputy(&self, connection: u64) -> bool {
         self.deputies.contains(&connection)
--- a/src/fleet/election/mod.rs
+++ b/src/fleet/election/mod.rs
@@ -22,6 +22,7 @@
 pub use area::EpochCount;
 pub use area::LeadState;
 pub use area::LeaderRow;
+pub use area::Predecessor;
 use follow::Follow;
 pub use members::Member;
 pub use members::Members;
@@ -335,6 +336,12 @@
             return;
         }
         let Some(lead) = &self.lead else { return };
+        let before = lead.row.as_ref().map(|row| Predecessor {
+            name: row.name.clone(),
+            addr: row.addr.clone(),
+            boot: row.boot,
+            vacant: row.vacant,
+        });
         let row = LeaderRow {
             epoch: lead.epoch() + 1,
             name: self.me.name.to_string(),
@@ -342,6 +349,7 @@
             boot: self.me.boot,
             vacant: false,
             successor: String::new(),
+            before,
         };
         log::info!(
             "TG1301 claiming the lead epoch={} at={}",
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -221,6 +221,8 @@
 pub enum Event {
     /// A job was not accepted: its rows will never be stored, and it must not run.
     Withdrawn(Name),
+    /// The process that led before has certainly ended, and with it its orders.
+    PredecessorEnded,
     /// A caller's request arrived.
     Called {
         /// Identifies the call in the reply.
--- a/src/fleet/host/frame.rs
+++ b/src/fleet/host/frame.rs
@@ -96,6 +96,12 @@
     /// Whether it could lead.
     #[prost(bool, tag = "4")]
     pub(super) eligible: bool,
+    /// Where other VMs reach it.
+    #[prost(string, tag = "5")]
+    pub(super) addr: String,
+    /// A number that identifies its process.
+    #[prost(uint64, tag = "6")]
+    pub(super) boot: u64,
 }
 
 impl From<Hello> for Member {
@@ -105,6 +111,8 @@
             centre: hello.centre.into(),
             cpu_milli: hello.cpu_milli,
             eligible: hello.eligible,
+            addr: hello.addr,
+            boot: hello.boot,
         }
     }
 }
--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -13,6 +13,7 @@
 use super::load::Loading;
 use super::relay::Shared;
 use super::watch;
+use crate::fleet::Event;
 use crate::fleet::clock::steady_ms;
 use crate::fleet::election::Action;
 use crate::fleet::election::Candidate;
@@ -22,6 +23,7 @@
 use crate::fleet::election::LeaderRow;
 use crate::fleet::election::LinkError;
 use crate::fleet::election::Outcome;
+use crate::fleet::election::Predecessor;
 use crate::fleet::gauge;
 use crate::fleet::ports::Area;
 use crate::fleet::ports::Error;
@@ -66,6 +68,8 @@
         centre: parts.centre.to_string(),
         cpu_milli: parts.cpu_milli,
         eligible: false,
+        addr: parts.peer_addr.to_string(),
+        boot: parts.boot,
     };
     let mut driver = Driver {
         parts,
@@ -78,6 +82,7 @@
         last_task: 0,
         link: None,
         engine: None,
+        predecessor: None,
         next_update: 0,
     };
     driver.handle(Input::Tick);
@@ -140,6 +145,8 @@
     /// The connection to the leader, and its epoch.
     link: Option<(Link, u64)>,
     engine: Option<(Engine, u64)>,
+    /// While this VM leads: the leader before it, until it is known to have ended.
+    predecessor: Option<Predecessor>,
     next_update: u64,
 }
 
@@ -180,6 +187,26 @@
                 .members()
                 .successor(now.saturating_sub(PREFERRED_AFTER_MS));
             self.handle(Input::Successor(successor));
+            self.check_predecessor();
+        }
+    }
+
+    /// Tells the scheduler once the process that led before has ended.
+    fn check_predecessor(&mut self) {
+        let Some((engine, _)) = &self.engine else {
+            return;
+        };
+        let members = self.shared.members();
+        let ended = |before: &mut Predecessor| members.have_replaced(before);
+        if let Some(before) = self.predecessor.take_if(ended) {
+            log::info!(
+                "TG1324 vm={} addr={} led before and runs another process now boot={}",
+                before.name,
+                before.addr,
+                before.boot
+            );
+            let engine = engine.clone();
+            tokio::spawn(async move { engine.send(Event::PredecessorEnded).await });
         }
     }
 
@@ -381,7 +408,10 @@
     }
 
     fn load(&mut self, epoch: u64) {
-        let loading = Loading::new(epoch);
+        let lead = self.election.lead().and_then(|lead| lead.row.as_ref());
+        let claim = lead.filter(|row| row.epoch == epoch);
+        self.predecessor = claim.and_then(|row| row.before.clone());
+        let loading = Loading::new(epoch, claim.is_some_and(LeaderRow::succeeds_none));
         self.leader.send_replace(Leader::Loading(loading.clone()));
         let parts = self.parts.clone();
         self.start(Kind::Load, |reporter| async move {
--- a/src/fleet/host/load.rs
+++ b/src/fleet/host/load.rs
@@ -7,11 +7,11 @@
 use crate::fleet::Scheduler;
 use crate::fleet::clock::boot_ms;
 use crate::fleet::clock::wall_ms;
+use crate::fleet::leases::Takeover;
 use crate::fleet::load::Loader;
 use crate::fleet::ports::Area;
 use crate::fleet::ports::Error;
 use crate::fleet::ports::Terms;
-use crate::fleet::timing::Timing;
 use crate::prelude::*;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -21,15 +21,18 @@
 pub(super) struct Loading {
     /// The epoch that it has claimed.
     pub(super) epoch: u64,
+    /// Whether the leader before had given up the lead, or there was none.
+    ended: bool,
     /// When the store last responded (local clock).
     answered_at: Arc<AtomicU64>,
 }
 
 impl Loading {
     /// Makes the state of a VM that starts loading for `epoch`.
-    pub(super) fn new(epoch: u64) -> Self {
+    pub(super) fn new(epoch: u64, ended: bool) -> Self {
         Self {
             epoch,
+            ended,
             answered_at: Arc::new(AtomicU64::new(boot_ms())),
         }
     }
@@ -93,9 +96,13 @@
     let (feed, sightings) = tokio::join!(store.directives(None, 0), store.discovery(None));
     let feed = feed.map_err(text)?;
     loading.note_answer();
-    let inherited = engine::MAX_ORDER_AGE_MS + Timing::max_local_ms(parts.timing.lease_ms());
+    let takeover = Takeover {
+        epoch: loading.epoch,
+        order_ms: engine::MAX_ORDER_AGE_MS,
+        ended: loading.ended,
+    };
     let (now, wall) = (boot_ms(), wall_ms());
-    let mut scheduler = loader.finish(parts.timing.clone(), now, wall, inherited);
+    let mut scheduler = loader.finish(parts.timing.clone(), now, wall, takeover);
     for directive in feed.items {
         scheduler.step(now, directive.into());
     }
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -1,11 +1,15 @@
 //! Builds a scheduler from the stored rows, which arrive in pages.
 
+use super::leases::EarlierLeaders;
+use super::leases::Takeover;
 use super::row::JobRow;
+use super::row::LeadersRow;
 use super::row::MAX_CLOSED;
 use super::row::Row;
 use super::row::StateRow;
 use super::row::WaveRow;
 use super::row::job_key;
+use super::row::leaders_key;
 use super::scheduler::Scheduler;
 use super::task::Job;
 use super::timing::Timing;
@@ -28,6 +32,7 @@
     jobs: Vec<(String, JobRow)>,
     states: HashMap<String, StateRow>,
     waves: Vec<(u64, WaveRow)>,
+    leaders: LeadersRow,
     /// Jobs with a row that cannot be decoded.
     unreadable: BTreeSet<Name>,
     /// Waves with a row that cannot be decoded.
@@ -65,6 +70,8 @@
                     return Err(invalid(error));
                 }
             }
+        } else if row.key == leaders_key() {
+            self.leaders = LeadersRow::decode(&*row.value).map_err(invalid)?;
         }
         Ok(())
     }
@@ -79,16 +86,16 @@
         }
     }
 
-    /// Builds the scheduler; `inherited_ms` is the longest time from `now` for which a lease that
-    /// another VM requested may still be valid.
+    /// Builds the scheduler of a new leader.
     pub fn finish(
         mut self,
         timing: Timing,
         now: u64,
         wall_ms: u64,
-        inherited_ms: u64,
+        takeover: Takeover,
     ) -> Scheduler {
         let mut scheduler = Scheduler::new(timing, now, wall_ms);
+        scheduler.earlier = EarlierLeaders::new(takeover, self.leaders.ended_before, now);
         for (number, state) in std::mem::take(&mut self.waves) {
             scheduler.upkeep.load(number, state);
         }
@@ -105,7 +112,7 @@
                 continue;
             }
             let job = Job::load(&id, row, state, now, wall_ms);
-            scheduler.adopt(job, now, now + inherited_ms);
+            scheduler.adopt(job, now);
         }
         if !self.unreadable.is_empty() {
             log::error!(
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 pub mod gauge;
 pub mod host;
 mod inherited;
+pub mod leases;
 pub mod load;
 pub mod logging;
 pub mod model;
--- a/src/fleet/row.rs
+++ b/src/fleet/row.rs
@@ -179,6 +179,19 @@
     pub announced: bool,
 }
 
+/// Which earlier leaders have ended.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct LeadersRow {
+    /// All leaders of epochs before this one have sent their last order.
+    #[prost(uint64, tag = "1")]
+    pub ended_before: u64,
+}
+
+/// Returns the key of the [`LeadersRow`].
+pub fn leaders_key() -> String {
+    "leaders".to_owned()
+}
+
 /// Returns the key of a wave's row.
 pub fn wave_key(wave: u64) -> String {
     format!("w.{wave}")
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -243,7 +243,7 @@
                         "TG1505 upstream={at} silent misses={} runs={} leases_end_in_ms={}",
                         upstream.misses,
                         upstream.runs.len(),
-                        upstream.lease_end.saturating_sub(now)
+                        upstream.leases_end().saturating_sub(now)
                     );
                 }
             }
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -11,6 +11,8 @@
 use super::event::Reading;
 use super::event::Reply;
 use super::inherited::Inherited;
+use super::leases::EarlierLeaders;
+use super::leases::Takeover;
 use super::load::Loader;
 use super::model::Config;
 use super::model::RunId;
@@ -87,6 +89,8 @@
     pub(super) touched: BTreeSet<Name>,
     /// Upstreams with work of earlier leaders that have not reported to this one yet.
     pub(super) inherited: Inherited,
+    /// The earlier leaders, whose leases may last.
+    pub(super) earlier: EarlierLeaders,
     /// Runs that were lost with their upstreams.
     pub(super) lost: LostRuns,
     /// Orders to start a run that got no response and may still be carried out.
@@ -110,13 +114,18 @@
 impl Scheduler {
     /// Rebuilds the state from the rows of the store, on a VM that has just become the leader.
     ///
-    /// `wall_ms` is the Unix time at `now`. Leases that earlier leaders requested expire at most
-    /// `inherited_ms` after `now`. A job with a row that cannot be decoded is neither run nor taken
-    /// as absent.
-    pub fn load(timing: Timing, rows: Vec<Row>, now: u64, wall_ms: u64, inherited_ms: u64) -> Self {
+    /// `wall_ms` is the Unix time at `now`. A job with a row that cannot be decoded is neither run
+    /// nor taken as absent.
+    pub fn load(
+        timing: Timing,
+        rows: Vec<Row>,
+        now: u64,
+        wall_ms: u64,
+        takeover: Takeover,
+    ) -> Self {
         let mut loader = Loader::default();
         loader.decode(rows);
-        loader.finish(timing, now, wall_ms, inherited_ms)
+        loader.finish(timing, now, wall_ms, takeover)
     }
 
     /// Makes an empty state.
@@ -141,6 +150,7 @@
             mark: 0,
             touched: BTreeSet::new(),
             inherited: Inherited::new(now),
+            earlier: EarlierLeaders::none(),
             lost: LostRuns::default(),
             unanswered: Unanswered::default(),
             near: HashMap::new(),
@@ -155,9 +165,9 @@
         scheduler
     }
 
-    /// Adds a job that an earlier leader stored; the leases of its runs end by `lease_end`. Runs that
-    /// must not go on are stopped.
-    pub(super) fn adopt(&mut self, job: Job, now: u64, lease_end: u64) {
+    /// Adds a job that an earlier leader stored. Runs that must not go on are stopped.
+    pub(super) fn adopt(&mut self, job: Job, now: u64) {
+        let lease_end = self.earlier.lease_end(&self.timing);
         for position in job.live() {
             let Some(live) = job.task(position).and_then(|task| task.live.as_ref()) else {
                 continue;
@@ -284,6 +294,7 @@
                 completed,
                 stored,
             } => self.announced(now, wave, completed, stored),
+            Event::PredecessorEnded => self.predecessor_ended(now),
             Event::Withdrawn(id) => self.withdraw(&id),
             Event::ClosureStored(id) => {
                 if let Some(job) = self.jobs.get_mut(&id) {
@@ -311,6 +322,7 @@
         }
         self.renew(now);
         self.drop_closed(now);
+        self.note_earlier_leaders(now);
         for id in std::mem::take(&mut self.dirty) {
             self.store(&id, now, wall_ms);
         }
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -57,8 +57,10 @@
     pub(super) stopping: HashMap<RunId, ResourceAmounts>,
     /// The last reading of its clock.
     pub(super) clock: Reading,
-    /// When every lease that was requested has certainly expired, local clock.
+    /// When every lease that this leader requested has certainly expired, local clock.
     pub(super) lease_end: u64,
+    /// When every lease that earlier leaders requested has certainly expired, local clock.
+    pub(super) inherited_end: u64,
     /// How many renewals are under way.
     pub(super) holds: u32,
     /// When the last renewal was sent, local clock.
@@ -125,6 +127,7 @@
             runs: HashMap::new(),
             stopping: HashMap::new(),
             lease_end: 0,
+            inherited_end: 0,
             holds: 0,
             renewed_at: 0,
             misses: 0,
@@ -150,9 +153,9 @@
         }
     }
 
-    /// Makes a placeholder for an upstream that only the store's rows name; no lease that another
-    /// VM requested lasts beyond `lease_end`.
-    pub(super) fn unlisted(id: &Name, now: u64, lease_end: u64) -> Self {
+    /// Makes a placeholder for an upstream that only the store's rows name; no lease that an earlier
+    /// leader requested lasts beyond `inherited_end`.
+    pub(super) fn unlisted(id: &Name, now: u64, inherited_end: u64) -> Self {
         let listing = Listing {
             id: id.clone(),
             addr: "".into(),
@@ -167,7 +170,7 @@
         };
         Self {
             listed: false,
-            lease_end,
+            inherited_end,
             ..Self::new(listing, now)
         }
     }
--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -25,7 +25,7 @@
         let expired: Vec<Name> = self
             .upstreams
             .iter()
-            .filter(|(_, up)| !up.runs.is_empty() && up.lease_end <= now)
+            .filter(|(_, up)| !up.runs.is_empty() && up.leases_end() <= now)
             .filter(|(_, up)| up.is_silent() || up.listing.addr.is_empty())
             .map(|(name, _)| name.clone())
             .collect();
--- a/tests/election/world.rs
+++ b/tests/election/world.rs
@@ -524,6 +524,8 @@
             centre: peer.centre.clone(),
             cpu_milli: peer.cpu_milli,
             eligible: peer.election.is_eligible(),
+            addr: String::new(),
+            boot: 0,
         };
         let now = self.now;
         let members = &mut self.vms[vm].members;
--- a/tests/fleet/handover.rs
+++ b/tests/fleet/handover.rs
@@ -1,13 +1,18 @@
-//! What the next leader does about stops that an earlier one still owed.
+//! What the next leader does about the duties of an earlier one: stops that it owed, and leases that
+//! it requested.
 
 use super::fake::Behaviour;
+use super::world::FIRST;
 use super::world::World;
 use super::world::gang;
 use super::world::step;
+use super::world::timing;
+use trefoilgauge::fleet::Event;
 use trefoilgauge::fleet::event::Operation;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::model::How;
 use trefoilgauge::fleet::model::Step;
+use trefoilgauge::fleet::timing::Timing;
 use trefoilgauge::prelude::*;
 
 /// How long the work takes: longer than each test.
@@ -104,3 +109,72 @@
     let runs: Vec<u32> = world.at_work(1).iter().map(|(_, run, _)| *run).collect();
     assert_eq!(runs, [2, 2]);
 }
+
+/// How long a task that lasts may be away after its last run, in milliseconds: the users' rule LOST.
+const MAX_AWAY_MS: u64 = 6_000 + 3_000;
+
+/// Starts a task that lasts, and loses its upstream together with the leader.
+fn lose_upstream_and_leader() -> (World, Name) {
+    let mut world = World::new(2, 2);
+    let lasting = Step {
+        long_running: true,
+        ..step(1, 1, 1_000)
+    };
+    let at = begin(&mut world, 1, lasting).remove(0);
+    world.pass(2_000);
+    set(&mut world, std::slice::from_ref(&at), Behaviour::Silent);
+    world.take_over();
+    (world, at)
+}
+
+/// Extends the lease at an upstream, as an earlier leader with the longest order age may.
+fn renew_as_earlier_leader(world: &mut World, at: &Name) {
+    let now = world.now;
+    let fake = world.upstreams.get_mut(at).unwrap();
+    fake.extend(now, fake.clock(now) + timing().lease_ms());
+}
+
+/// Guards against a task that waits for orders of a leader that has ended.
+#[test]
+fn a_task_of_a_lost_upstream_starts_soon_once_the_predecessor_has_ended() {
+    let (mut world, _) = lose_upstream_and_leader();
+    world.pass(1_500);
+    world.tell(Event::PredecessorEnded);
+    world.pass(MAX_AWAY_MS - 1_500);
+    assert_eq!(world.runs_begun(1), 2);
+}
+
+/// Guards against a second run while a leader that was cut off still renews the first one.
+#[test]
+fn leases_of_a_predecessor_that_may_live_are_waited_for() {
+    let (mut world, at) = lose_upstream_and_leader();
+    world.pass(FIRST.order_ms - 10);
+    renew_as_earlier_leader(&mut world, &at);
+    // The world panics if a task runs twice.
+    world.pass(timing().lease_ms() + 1_000);
+    assert_eq!(world.runs_begun(1), 2);
+}
+
+/// Guards against a second run while the leader before one that has ended still renews the first.
+#[test]
+fn the_end_of_a_predecessor_tells_nothing_of_the_leaders_before_it() {
+    let (mut world, at) = lose_upstream_and_leader();
+    world.pass(500);
+    world.take_over();
+    world.tell(Event::PredecessorEnded);
+    world.pass(FIRST.order_ms - 510);
+    renew_as_earlier_leader(&mut world, &at);
+    world.pass(timing().lease_ms() + 1_500);
+    assert_eq!(world.runs_begun(1), 2);
+}
+
+/// Guards against a wait for all earlier leaders by each leader anew.
+#[test]
+fn a_leader_that_waited_for_the_earlier_ones_spares_the_next_one_that_wait() {
+    let (mut world, _) = lose_upstream_and_leader();
+    world.pass(FIRST.order_ms + 100);
+    world.take_over();
+    world.tell(Event::PredecessorEnded);
+    world.pass(Timing::max_local_ms(timing().lease_ms()) + 500);
+    assert_eq!(world.runs_begun(1), 2);
+}
--- a/tests/fleet/stale.rs
+++ b/tests/fleet/stale.rs
@@ -3,6 +3,7 @@
 
 use super::fake::Behaviour;
 use super::fake::Running;
+use super::world::LATER;
 use super::world::WALL_MS;
 use super::world::World;
 use super::world::config;
@@ -289,7 +290,7 @@
         value: value.clone(),
     });
     let wall_ms = WALL_MS + world.now + 180_000;
-    world.scheduler = Scheduler::load(timing(), rows.collect(), world.now, wall_ms, 16_000);
+    world.scheduler = Scheduler::load(timing(), rows.collect(), world.now, wall_ms, LATER);
     world.tell(Event::Config(Arc::new(config(1, 16))));
     world.list();
     let first = world.begun[0].at.clone();
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -20,6 +20,7 @@
 use trefoilgauge::fleet::event::Operation;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::event::Reply;
+use trefoilgauge::fleet::leases::Takeover;
 use trefoilgauge::fleet::model::Advice;
 use trefoilgauge::fleet::model::Config;
 use trefoilgauge::fleet::model::Listing;
@@ -54,6 +55,8 @@
     pub scheduler: Scheduler,
     pub now: u64,
     pub rows: BTreeMap<String, Vec<u8>>,
+    /// The epoch of the present leader.
+    pub epoch: u64,
     /// The configuration in force.
     pub config: Arc<Config>,
     pub upstreams: BTreeMap<Name, FakeUpstream>,
@@ -84,6 +87,19 @@
     calls: u64,
 }
 
+/// The first leader.
+pub(crate) const FIRST: Takeover = Takeover {
+    epoch: 1,
+    order_ms: 7_000,
+    ended: true,
+};
+/// A leader whose predecessor may still send orders.
+pub(crate) const LATER: Takeover = Takeover {
+    epoch: 2,
+    order_ms: 7_000,
+    ended: false,
+};
+
 /// The time limits of all worlds.
 pub(crate) fn timing() -> Timing {
     Timing {
@@ -166,11 +182,12 @@
     /// Creates a world of `racks` racks with `each` upstreams of 8 accelerators.
     pub(crate) fn new(racks: u32, each: u32) -> Self {
         let now = 1_000;
-        let scheduler = Scheduler::load(timing(), Vec::new(), now, WALL_MS + now, 0);
+        let scheduler = Scheduler::load(timing(), Vec::new(), now, WALL_MS + now, FIRST);
         let mut world = Self {
             scheduler,
             now,
             rows: BTreeMap::new(),
+            epoch: FIRST.epoch,
             config: Arc::new(config(1, 16)),
             upstreams: BTreeMap::new(),
             begun: Vec::new(),
@@ -265,7 +282,12 @@
         for fake in self.upstreams.values_mut() {
             fake.holds.clear();
         }
-        self.scheduler = Scheduler::load(timing(), rows, self.now, WALL_MS + self.now, 16_000);
+        self.epoch += 1;
+        let takeover = Takeover {
+            epoch: self.epoch,
+            ..LATER
+        };
+        self.scheduler = Scheduler::load(timing(), rows, self.now, WALL_MS + self.now, takeover);
         self.tell(Event::Config(self.config.clone()));
         self.list();
     }
--- a/tests/fleet_hazards/calamity.rs
+++ b/tests/fleet_hazards/calamity.rs
@@ -8,6 +8,7 @@
 use super::world::Action;
 use super::world::CALM_MS;
 use super::world::World;
+use std::ops::Range;
 use trefoilgauge::fleet::Event;
 use trefoilgauge::fleet::event::Call;
 use trefoilgauge::fleet::event::Operation;
@@ -18,6 +19,9 @@
 const FIRST_MS: u64 = 2_000;
 /// How far apart hazards strike that come together, in milliseconds.
 const SPREAD_MS: u64 = 1_200;
+/// How long a killed leader's VM takes until its next process is known to the next leader, in
+/// milliseconds.
+const BACK_MS: Range<u64> = 200..6_000;
 /// How long a caller waits for a reply, in milliseconds.
 const REPLY_MS: u64 = 1_500;
 /// The time between two requests for a job's state, in milliseconds.
@@ -87,6 +91,9 @@
             return;
         };
         self.leaders[leader].life = Life::Gone;
+        let back = self.draw("back").range(BACK_MS.start, BACK_MS.end);
+        self.leaders[leader].back_at = Some(now + back);
+        self.after(back, Action::Back(leader));
         let epoch = self.leaders[leader].epoch;
         self.journal.note(now, format!("leader {epoch} is killed"));
         let ms = self.draw("kill").range(800, 2_500);
@@ -129,6 +136,18 @@
         }
     }
 
+    /// Tells the leader after one that was killed, once both are known, that its process has ended.
+    pub(crate) fn back(&mut self, killed: usize) {
+        let now = self.now;
+        let back = self.leaders[killed].back_at.is_some_and(|at| at <= now);
+        let next = self.leaders[killed].epoch + 1;
+        let next = self.leaders.iter_mut().find(|leader| leader.epoch == next);
+        if let Some(next) = next.filter(|next| back && next.life == Life::Running) {
+            let local = now + next.offset;
+            next.scheduler.step(local, Event::PredecessorEnded);
+        }
+    }
+
     /// Makes a caller's call at the newest leader, at times at one that is about to resign.
     pub(crate) fn call(&mut self, job: usize, ask: Ask) {
         let old = self.draw(("old", job)).chance(0.1);
--- a/tests/fleet_hazards/engine.rs
+++ b/tests/fleet_hazards/engine.rs
@@ -17,6 +17,7 @@
 use super::world::World;
 use trefoilgauge::fleet::Effect;
 use trefoilgauge::fleet::Event;
+use trefoilgauge::fleet::leases::Takeover;
 use trefoilgauge::prelude::*;
 
 /// The time limit of an append, in milliseconds.
@@ -225,6 +226,7 @@
         let now = self.now;
         let this = &mut self.leaders[leader];
         this.life = Life::Gone;
+        this.resigned = true;
         let epoch = this.epoch;
         self.journal
             .note(now, format!("leader {epoch} resigns: {why}"));
@@ -237,17 +239,25 @@
         if self.store.epoch() != epoch {
             return;
         }
+        let mut known = self.leaders.iter();
+        let before = known.find(|leader| leader.epoch == epoch);
+        let ended = epoch == 0 || before.is_some_and(|leader| leader.resigned);
         let epoch = self.store.claim();
         let ms = self.draw("load").range(5, 300);
-        self.after(ms, Action::Load(epoch));
+        self.after(ms, Action::Load(epoch, ended));
     }
 
     /// Lets the VM that claimed `epoch` lead.
-    pub(crate) fn load(&mut self, epoch: u64) {
+    pub(crate) fn load(&mut self, epoch: u64, ended: bool) {
         let now = self.now;
         let offset = self.draw("offset").range(10_000, 500_000);
         let rows = self.store.rows();
-        let mut leader = Leader::new(epoch, rows, now, offset, WALL_MS + now);
+        let takeover = Takeover {
+            epoch,
+            order_ms: MAX_ORDER_AGE_MS,
+            ended,
+        };
+        let mut leader = Leader::new(takeover, rows, now, offset);
         let listings = self.store.listings();
         leader.feed = self.store.feed.len();
         leader.known = listings.iter().map(|listing| listing.id.clone()).collect();
@@ -258,6 +268,9 @@
         self.leaders.push(leader);
         self.journal.note(now, format!("leader {epoch} takes over"));
         let index = self.leaders.len() - 1;
+        if let Some(before) = index.checked_sub(1) {
+            self.back(before);
+        }
         self.after(1, Action::Tick(index));
         self.after(POLL_MS, Action::Poll(index));
     }
--- a/tests/fleet_hazards/leader.rs
+++ b/tests/fleet_hazards/leader.rs
@@ -2,11 +2,13 @@
 
 use super::orders::Answer;
 use super::orders::Order;
+use super::world::WALL_MS;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use trefoilgauge::fleet::Effect;
 use trefoilgauge::fleet::Scheduler;
+use trefoilgauge::fleet::leases::Takeover;
 use trefoilgauge::fleet::row::Row;
 use trefoilgauge::fleet::timing::Timing;
 use trefoilgauge::prelude::*;
@@ -35,11 +37,6 @@
     }
 }
 
-/// Returns how long leases of earlier leaders may last after a takeover, in milliseconds.
-pub(crate) fn inherited_ms() -> u64 {
-    MAX_ORDER_AGE_MS + Timing::max_local_ms(timing().lease_ms())
-}
-
 /// What a leader received while it was suspended.
 #[derive(Debug, Clone)]
 pub(crate) enum Received {
@@ -85,6 +82,10 @@
     /// Its local clock minus the time of the world, in milliseconds.
     pub offset: u64,
     pub life: Life,
+    /// Whether it gave up the lead.
+    pub resigned: bool,
+    /// When its VM runs another process, if it was killed.
+    pub back_at: Option<u64>,
     pub rows: Vec<Row>,
     pub gated: Vec<Effect>,
     pub append: Option<Append>,
@@ -115,14 +116,15 @@
     }
 
     /// Makes a leader of an epoch that has loaded the rows.
-    pub(crate) fn new(epoch: u64, rows: Vec<Row>, now: u64, offset: u64, wall_ms: u64) -> Self {
+    pub(crate) fn new(takeover: Takeover, rows: Vec<Row>, now: u64, offset: u64) -> Self {
         let local = now + offset;
-        let inherited = if epoch == 1 { 0 } else { inherited_ms() };
         Self {
-            epoch,
-            scheduler: Scheduler::load(timing(), rows, local, wall_ms, inherited),
+            epoch: takeover.epoch,
+            scheduler: Scheduler::load(timing(), rows, local, WALL_MS + now, takeover),
             offset,
             life: Life::Running,
+            resigned: false,
+            back_at: None,
             rows: Vec::new(),
             gated: Vec::new(),
             append: None,
--- a/tests/fleet_hazards/world.rs
+++ b/tests/fleet_hazards/world.rs
@@ -99,8 +99,11 @@
     Thaw(usize),
     /// Another VM takes over from the leader of this epoch.
     TakeOver(u64),
-    /// The VM that claimed this epoch has loaded the state.
-    Load(u64),
+    /// The VM that claimed this epoch has loaded the state; whether the leader before had given up
+    /// the lead.
+    Load(u64, bool),
+    /// The VM of a leader that was killed runs another process.
+    Back(usize),
 }
 
 /// A simulated world.
@@ -266,7 +269,8 @@
             Action::StoreCut(ms) => self.cut_store(ms),
             Action::Thaw(leader) => self.thaw(leader),
             Action::TakeOver(epoch) => self.take_over(epoch),
-            Action::Load(epoch) => self.load(epoch),
+            Action::Load(epoch, ended) => self.load(epoch, ended),
+            Action::Back(leader) => self.back(leader),
         }
     }
 
