test(fleet): put upstreams on the side of a leader that loses the store

The simulated worlds cut an upstream off from every leader, so an earlier one could never renew what a new one cannot reach, and a wait that is too short broke nothing. `split` puts some upstreams on the side of a leader that loses the store: it reaches them alone, and no one else does. The leader after it is killed soon in three of ten cases.

--- a/tests/fleet_hazards/calamity.rs
+++ b/tests/fleet_hazards/calamity.rs
@@ -19,9 +19,13 @@
 const FIRST_MS: u64 = 2_000;
 /// How far apart hazards strike that come together, in milliseconds.
 const SPREAD_MS: u64 = 1_200;
+/// The probability that the leader after one that lost the store is killed soon.
+const NEXT_KILLED: f64 = 0.3;
 /// How long a killed leader's VM takes until its next process is known to the next leader, in
 /// milliseconds.
 const BACK_MS: Range<u64> = 200..6_000;
+/// How long an upstream is on the side of a leader that has lost the store, in milliseconds.
+const SPLIT_MS: Range<u64> = 2_000..16_000;
 /// How long a caller waits for a reply, in milliseconds.
 const REPLY_MS: u64 = 1_500;
 /// The time between two requests for a job's state, in milliseconds.
@@ -127,12 +131,30 @@
             return;
         };
         self.leaders[leader].cut_until = now + ms;
+        for slot in 0..self.slots.len() {
+            if self.strikes(Hazard::Split, slot) {
+                let ms = self
+                    .draw(("split", slot))
+                    .range(SPLIT_MS.start, SPLIT_MS.end);
+                self.slots[slot].split = Some((leader, now + ms));
+                let id = self.slots[slot].id.clone();
+                self.journal
+                    .note_at(now, &id, format!("on the side of that leader for {ms} ms"));
+            }
+        }
         let epoch = self.leaders[leader].epoch;
         self.journal
             .note(now, format!("leader {epoch} loses the store for {ms} ms"));
         let patience = self.draw("store cut").range(1_500, 4_000);
         if patience < ms {
             self.after(patience, Action::TakeOver(epoch));
+            // The next leader, while the one before it still sends orders.
+            let kills = self.hazards.of(Hazard::Kill) > 0.0;
+            let mut draw = self.draw("kill the next");
+            if kills && draw.chance(NEXT_KILLED) {
+                let ms = draw.range(300, 2_500);
+                self.after(patience + ms, Action::Kill);
+            }
         }
     }
 
--- a/tests/fleet_hazards/hazards.rs
+++ b/tests/fleet_hazards/hazards.rs
@@ -34,6 +34,9 @@
     Freeze,
     /// Leaders that lose the store while another VM takes over.
     StoreCut,
+    /// The probability that an upstream is on the side of a leader that loses the store: no other
+    /// leader reaches it, and that leader reaches no others.
+    Split,
     /// The probability that an append gets no answer, stored or not.
     LostAppend,
     /// The probability that an append is slow.
@@ -56,7 +59,7 @@
 }
 
 /// All hazards with their names.
-pub(crate) const ALL: [(Hazard, &str); 23] = [
+pub(crate) const ALL: [(Hazard, &str); 24] = [
     (Hazard::SameId, "same_id"),
     (Hazard::NewId, "new_id"),
     (Hazard::LateEntry, "late_entry"),
@@ -71,6 +74,7 @@
     (Hazard::Kill, "kill"),
     (Hazard::Freeze, "freeze"),
     (Hazard::StoreCut, "store_cut"),
+    (Hazard::Split, "split"),
     (Hazard::LostAppend, "lost_append"),
     (Hazard::SlowAppend, "slow_append"),
     (Hazard::Deadly, "deadly"),
@@ -109,6 +113,7 @@
             .with(Hazard::Kill, 1.0)
             .with(Hazard::Freeze, 1.0)
             .with(Hazard::StoreCut, 0.6)
+            .with(Hazard::Split, 0.2)
             .with(Hazard::LostAppend, 0.02)
             .with(Hazard::SlowAppend, 0.02)
             .with(Hazard::Failing, 0.02)
--- a/tests/fleet_hazards/main.rs
+++ b/tests/fleet_hazards/main.rs
@@ -135,3 +135,18 @@
         .with(Hazard::Lasting, 0.3);
     run_worlds(seeds(75..115), &adjusted(hazards));
 }
+
+/// Guards against a second run while a leader on its side of a partition renews the first one.
+#[test]
+fn no_run_is_settled_while_an_earlier_leader_renews_it() {
+    let hazards = Hazards::all()
+        .with(Hazard::SameId, 0.0)
+        .with(Hazard::NewId, 0.0)
+        .with(Hazard::Capacity, 0.0)
+        .with(Hazard::Freeze, 0.0)
+        .with(Hazard::Cut, 0.0)
+        .with(Hazard::StoreCut, 4.0)
+        .with(Hazard::Split, 0.4)
+        .with(Hazard::Lasting, 0.4);
+    run_worlds(seeds(120..160), &adjusted(hazards));
+}
--- a/tests/fleet_hazards/slot.rs
+++ b/tests/fleet_hazards/slot.rs
@@ -36,6 +36,8 @@
     /// Renewals whose responses wait, with the time until which they wait.
     pub holds: Vec<(Order, u64)>,
     pub cut_until: u64,
+    /// The leader on its side of a partition, and until when.
+    pub split: Option<(usize, u64)>,
     /// Its capacities, with the time from which on each was in force.
     rooms: Vec<(u64, ResourceAmounts)>,
     traits: Traits,
@@ -63,6 +65,7 @@
             process: None,
             holds: Vec::new(),
             cut_until: 0,
+            split: None,
             rooms: vec![(0, room(100))],
             traits,
         }
@@ -98,6 +101,20 @@
 }
 
 impl World {
+    /// Returns whether a leader does not reach a place now.
+    pub(crate) fn is_cut(&self, slot: usize, leader: usize) -> bool {
+        let now = self.now;
+        let side = |slot: &Slot| {
+            let split = slot.split.filter(|(_, until)| *until > now);
+            split.map(|(leader, _)| leader)
+        };
+        let here = side(&self.slots[slot]);
+        let apart = self.slots.iter().any(|slot| side(slot) == Some(leader));
+        self.slots[slot].cut_until > now
+            || here.is_some_and(|only| only != leader)
+            || apart && here.is_none()
+    }
+
     /// Starts a process at a place, under the identity of the last one or a new one.
     pub(crate) fn rebirth(&mut self, slot: usize, same: bool) {
         let now = self.now;
--- a/tests/fleet_hazards/transport.rs
+++ b/tests/fleet_hazards/transport.rs
@@ -40,10 +40,8 @@
         };
         let lost = self.strikes(Hazard::LostOrder, key);
         let late = self.strikes(Hazard::LateOrder, key);
-        let cut = self.slot_of(&order.addr).is_some_and(|slot| {
-            let until = self.slots[slot].cut_until;
-            until > now
-        });
+        let slot = self.slot_of(&order.addr);
+        let cut = slot.is_some_and(|slot| self.is_cut(slot, leader));
         order.late = late;
         self.note_sent(&order, lost || cut && !late);
         let limit = order.limit_ms();
@@ -89,7 +87,7 @@
         let Some(slot) = self.slot_of(&order.addr) else {
             return;
         };
-        if self.slots[slot].cut_until > now {
+        if self.is_cut(slot, order.leader) {
             return;
         }
         self.advance(slot);
