test(fleet): look for runs of cancelled jobs all through the worlds

The worlds looked for runs of cancelled jobs at their end only. They now look each half second, and count from the acknowledgement, the start of the run and the last disturbance of its upstream or of the lead, as the rule does.

--- a/tests/fleet_hazards/calamity.rs
+++ b/tests/fleet_hazards/calamity.rs
@@ -264,7 +264,10 @@
                 what.gone |= newest;
                 self.after(POLL_MS, Action::Call(job, Ask::State));
             }
-            (Ask::Cancel, Reply::Cancelled | Reply::Gone) => {}
+            (Ask::Cancel, Reply::Cancelled) => {
+                what.cancel_acked.get_or_insert(now);
+            }
+            (Ask::Cancel, Reply::Gone) => {}
             (_, Reply::Unavailable { .. }) => self.after(300, Action::Call(job, ask)),
             (ask, reply) => panic!("unexpected reply {reply:?} to {ask:?}"),
         }
--- a/tests/fleet_hazards/jobs.rs
+++ b/tests/fleet_hazards/jobs.rs
@@ -44,6 +44,8 @@
     pub unknown: bool,
     pub refusals: u32,
     pub cancelled: bool,
+    /// When its cancelling was acknowledged.
+    pub cancel_acked: Option<u64>,
     pub shown: Option<Phase>,
     pub gone: bool,
     salt: u64,
@@ -143,6 +145,7 @@
                 unknown: false,
                 refusals: 0,
                 cancelled: false,
+                cancel_acked: None,
                 shown: None,
                 gone: false,
                 salt: random.next(),
--- a/tests/fleet_hazards/leader.rs
+++ b/tests/fleet_hazards/leader.rs
@@ -93,6 +93,8 @@
     pub confirmed_at: u64,
     /// Until when its calls of the store get no answer.
     pub cut_until: u64,
+    /// When it had loaded the rows.
+    pub loaded_at: u64,
     /// When it last resumed.
     pub resumed_at: u64,
     /// The orders without response.
@@ -131,6 +133,7 @@
             sequence: 0,
             confirmed_at: now,
             cut_until: 0,
+            loaded_at: now,
             resumed_at: 0,
             pending: BTreeMap::new(),
             inbox: Vec::new(),
--- a/tests/fleet_hazards/world.rs
+++ b/tests/fleet_hazards/world.rs
@@ -22,7 +22,6 @@
 use trefoilgauge::fleet::Event;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::row::Row;
-use trefoilgauge::prelude::*;
 
 /// The Unix time at time 0 of a world, in milliseconds.
 pub(crate) const WALL_MS: u64 = 1_700_000_000_000;
@@ -34,8 +33,8 @@
 const END_MS: u64 = 160_000;
 /// The limit on the ends in one report where it is low: large enough for a few tasks at a time.
 const SHORT_REPORT_ENDS: usize = 2;
-/// How long a run of a cancelled job may be at work after its start or the end of all hazards, in
-/// milliseconds: `contact-ms`, `cancel_ms` and `stop-ms` of the users' smallest site.
+/// How long a run of a cancelled job may be at work after its start, the acknowledgement, and the
+/// last disturbance of its upstream or of the lead, in milliseconds: `contact-ms`, `cancel_ms` and `stop-ms` of the users' smallest site.
 const CANCELLED_RUN_MS: u64 = 3_000 + 3_000 + 200;
 /// The number of upstreams.
 const SLOTS: usize = 6;
@@ -243,6 +242,7 @@
             Action::Expire => {
                 self.store
                     .expire(self.now.saturating_sub(super::slot::ENTRY_MS));
+                self.judge_cancelled();
                 self.after(500, Action::Expire);
             }
             Action::Call(job, ask) => self.call(job, ask),
@@ -274,28 +274,44 @@
         }
     }
 
-    /// Checks that no run of a cancelled job is left.
+    /// Checks that no run of a cancelled job is left where nothing was disturbed for long enough.
     fn judge_cancelled(&mut self) {
-        let shown = |job: &&Job| job.shown == Some(Phase::Cancelled);
-        let cancelled: Vec<&Name> = self.jobs.iter().filter(shown).map(|job| &job.id).collect();
-        let processes = self.slots.iter().filter_map(|slot| slot.process.as_ref());
-        let runs = processes.flat_map(|process| process.runs.iter().map(move |run| (process, run)));
-        for (process, ((task, number), run)) in runs {
-            let due = run.start.max(CALM_MS) + CANCELLED_RUN_MS;
-            if due < self.now && cancelled.contains(&&task.job) {
-                let what = format!(
-                    "run {number} is at work at {}, its job was cancelled",
-                    process.id
-                );
-                self.checks.report("UNASKED", self.now, task, what);
+        let now = self.now;
+        let leaders = self.leaders.iter();
+        let changed = leaders.map(|leader| {
+            leader
+                .loaded_at
+                .max(leader.resumed_at)
+                .max(leader.cut_until)
+        });
+        let changed = changed.max().unwrap_or(0);
+        let mut left = Vec::new();
+        for slot in &self.slots {
+            let split = slot.split.map_or(0, |(_, until)| until);
+            let disturbed = changed.max(slot.cut_until).max(split);
+            let runs = slot.process.iter().flat_map(|process| &process.runs);
+            for ((task, number), run) in runs {
+                let job = self.jobs.iter().find(|job| job.id == task.job);
+                let Some(acked) = job.and_then(|job| job.cancel_acked) else {
+                    continue;
+                };
+                if acked.max(disturbed).max(run.start) + CANCELLED_RUN_MS < now {
+                    let what = format!(
+                        "run {number} is at work at {}, cancelled at {acked}",
+                        slot.id
+                    );
+                    left.push((task.clone(), what));
+                }
             }
         }
+        for (task, what) in left {
+            self.checks.report("UNASKED", now, &task, what);
+        }
     }
 
     /// Checks what must hold at the end, after the calm.
     fn judge_end(&mut self) {
         let now = self.now;
-        self.judge_cancelled();
         for job in &self.jobs {
             let tasks = job.tasks();
             let id = &job.id;
