fix(fleet): ask idle upstreams for a report when they become known

Callers may see: a task of a cancelled job is started by a late order and runs on for its whole lease, 10 s at the longest (UNASKED).

Cause: the next leader asks for reports where the rows show work, and an upstream that comes back to discovery is not asked at all. Neither learns the fencing token, so it obeys orders of an earlier leader, and what it runs is not noticed: the orders without a response are in the memory of the leader that sent them. Where a report does show such a run, the order to stop it was sent once.

Change: an upstream that becomes known is asked for a report though nothing runs there, 5 ms after the one before it; one with a run that no leader knows is asked again until the run is gone. That costs one look for each upstream and change of the lead.

Evidence: the last two tests of tests/fleet/handover.rs failed before.

--- a/src/fleet/discovery.rs
+++ b/src/fleet/discovery.rs
@@ -8,6 +8,10 @@
 use crate::prelude::*;
 use std::collections::BTreeSet;
 
+/// The interval between the first looks at upstreams that are listed together, in milliseconds: all
+/// of 350 are called within the 2 s after which late orders arrive.
+const LOOK_INTERVAL_MS: u64 = 5;
+
 impl Scheduler {
     /// Puts a configuration in force if it is newer than the present one.
     pub(super) fn configured(&mut self, config: Arc<Config>) {
@@ -151,6 +155,10 @@
         let mut upstream = Upstream::new(listing, now);
         upstream.evacuated = evacuated;
         upstream.note_leaving();
+        // Not all at once: a small VM that takes the lead has other calls to make.
+        let look_at = self.next_look.max(now);
+        upstream.look_at = Some(look_at);
+        self.next_look = look_at + LOOK_INTERVAL_MS;
         self.upstreams.insert(id, upstream);
         self.changed = true;
     }
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -21,6 +21,7 @@
 use super::task::Stage;
 use super::task::TaskPosition;
 use super::timing::DECLINE_BACKOFF_MS;
+use super::timing::END_POLL_MS;
 use super::timing::MAX_MISSES;
 use super::timing::MAX_START_TRIES;
 use super::timing::RETRY_MS;
@@ -339,6 +340,10 @@
                     work.run.number
                 );
                 self.send_stop(at, work.run.clone());
+                // The order may be lost, and nothing else may need a report.
+                if let Some(upstream) = self.upstreams.get_mut(at) {
+                    upstream.look_at = Some(now + END_POLL_MS);
+                }
             }
             return;
         };
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -99,6 +99,8 @@
     pub(super) near: HashMap<Shape, FitBounds>,
     /// How runs ended recently, over all upstreams.
     pub(super) ends: Health,
+    /// The earliest time of the first look at the next upstream, local clock.
+    pub(super) next_look: u64,
     /// When all upstreams are next checked for due renewals, local clock.
     pub(super) next_renew: u64,
     /// When runs with pending stops or expired leases are next checked, local clock.
@@ -155,6 +157,7 @@
             unanswered: Unanswered::default(),
             near: HashMap::new(),
             ends: Health::default(),
+            next_look: 0,
             next_renew: 0,
             next_watch: 0,
             next_check: 0,
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -71,6 +71,9 @@
     pub(super) report_wanted: bool,
     /// When to request an additional report, local clock.
     pub(super) report_at: Option<u64>,
+    /// When it is asked for a report although no run of this leader is there, local clock: to tell it
+    /// the fencing token, and to find runs that no leader knows.
+    pub(super) look_at: Option<u64>,
     /// When it is polled again if it does not respond, local clock.
     pub(super) retry_at: u64,
     /// The number of the last end that is stored.
@@ -133,6 +136,7 @@
             misses: 0,
             report_wanted: false,
             report_at: None,
+            look_at: None,
             retry_at: 0,
             renewal_mark: 0,
             settled_mark: 0,
@@ -303,8 +307,10 @@
     /// Decides whether to send a renewal now, and if so, records it as sent.
     pub(super) fn renewal(&mut self, now: u64, timing: &Timing) -> Renewal {
         let has_runs = !self.runs.is_empty();
-        let needs_renewal =
-            has_runs || self.acknowledged < self.handled || self.listed && self.misses > 0;
+        let look_due = self.look_at.is_some_and(|at| at <= now);
+        let needs_renewal = has_runs
+            || self.acknowledged < self.handled
+            || self.listed && (self.misses > 0 || look_due);
         if !needs_renewal || !has_runs && !self.listed && self.is_silent() {
             let unused = !self.listed && self.holds == 0;
             return if unused { Renewal::Drop } else { Renewal::None };
@@ -331,6 +337,9 @@
         };
         self.holds += 1;
         self.renewed_at = now;
+        if look_due {
+            self.look_at = None;
+        }
         // Not sent again once answered, nor before a report after silence: it would mean other ends
         // to a process that has taken the place of this one.
         self.acknowledging = if self.misses == 0 && self.acknowledged < self.seen {
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -84,6 +84,8 @@
     ends: u64,
     /// The number of the last end that it has reported.
     reported: u64,
+    /// How many of the next orders to stop are lost.
+    pub lost_stops: u32,
     /// How many renewals it received.
     pub renewals: u32,
     /// The most ends that one report lists.
@@ -112,6 +114,7 @@
             origin: 0,
             ends: 0,
             reported: 0,
+            lost_stops: 0,
             renewals: 0,
             page: 500,
         }
--- a/tests/fleet/handover.rs
+++ b/tests/fleet/handover.rs
@@ -2,6 +2,7 @@
 //! it requested.
 
 use super::fake::Behaviour;
+use super::fake::Running;
 use super::world::FIRST;
 use super::world::World;
 use super::world::gang;
@@ -12,6 +13,7 @@
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::model::How;
 use trefoilgauge::fleet::model::Step;
+use trefoilgauge::fleet::model::TaskId;
 use trefoilgauge::fleet::timing::Timing;
 use trefoilgauge::prelude::*;
 
@@ -178,3 +180,50 @@
     world.pass(Timing::max_local_ms(timing().lease_ms()) + 500);
     assert_eq!(world.runs_begun(1), 2);
 }
+
+/// Guards against late orders of an earlier leader at an upstream that knows no higher token.
+#[test]
+fn idle_upstreams_learn_the_token_of_the_next_leader() {
+    let mut world = World::new(2, 2);
+    world.pass(1_000);
+    let before: Vec<u32> = world.upstreams.values().map(|up| up.renewals).collect();
+    world.take_over();
+    world.pass(500);
+    let after = world.upstreams.values().map(|up| up.renewals);
+    let told = after.zip(before).filter(|(after, before)| after > before);
+    assert_eq!(told.count(), world.upstreams.len());
+}
+
+/// Guards against a late start at an upstream without other work, the stop of which is lost.
+#[test]
+fn a_run_that_no_leader_knows_is_stopped_at_an_idle_upstream() {
+    let mut world = World::new(1, 2);
+    let at = begin(&mut world, 1, step(1, 1, LONG_MS)).remove(0);
+    world.call("batch", "key-a", 1, Operation::Cancel);
+    world.pass(1_000);
+    world.restart(&at);
+    let (now, need) = (world.now, step(1, 1, LONG_MS).need());
+    // As started by a late order of the earlier leader.
+    let late = Running {
+        number: 1,
+        start: now,
+        worked: now + LONG_MS,
+        end: now + LONG_MS,
+        pace: 100,
+        need,
+        stopping: false,
+    };
+    let task = TaskId {
+        job: format!("{:016x}", 1).into(),
+        turn: 0,
+        step: 0,
+        index: 0,
+    };
+    let fake = world.upstreams.get_mut(&at).unwrap();
+    fake.running.insert(task, late);
+    fake.extend(now, timing().max_lease_ms);
+    fake.lost_stops = 1;
+    world.take_over();
+    world.pass(STOPPED_MS);
+    assert_eq!(world.at_work(1), vec![]);
+}
--- a/tests/fleet/world/carry.rs
+++ b/tests/fleet/world/carry.rs
@@ -260,8 +260,11 @@
     fn stop(&mut self, at: &Name, run: RunId) {
         let now = self.now;
         let fake = self.upstreams.get_mut(at).unwrap();
+        let lost = fake.lost_stops > 0;
+        fake.lost_stops = fake.lost_stops.saturating_sub(1);
         let answer = match fake.behaviour {
             Behaviour::Silent => OrderOutcome::Silent,
+            _ if lost => OrderOutcome::Silent,
             Behaviour::Replaced => OrderOutcome::OtherLife,
             _ => {
                 fake.stop(now, &run);
