fix(fleet): take a leader's own restarted VM as the end of its predecessor

Cause: the proof that a VM runs another process was looked for among the VMs that are connected only.

Change: a claim compares itself with the leader before it, too. Both comparisons are one function of values, and `a_claim_follows_an_ended_leader_only_where_that_ is_certain` lists its cases; the one of the same VM failed before (by the code: `succeeds_none` looked at `vacant` alone; the test did not compile then).

--- a/src/fleet/election/area.rs
+++ b/src/fleet/election/area.rs
@@ -1,6 +1,5 @@
 //! The rows of the store's `Lead` area, which records who leads.
 
-use super::Member;
 use crate::fleet::ports::Rows;
 use crate::fleet::row::Row;
 use crate::prelude::*;
@@ -59,20 +58,21 @@
 }
 
 impl Predecessor {
-    /// Returns whether the process has ended, as `member` is a later one: a VM runs one process at a
-    /// time, which holds its address from its start to its end.
-    pub fn is_replaced_by(&self, member: &Member) -> bool {
-        let known = member.boot != 0 && self.boot != 0;
-        known && *member.name == *self.name && member.addr == self.addr && member.boot != self.boot
+    /// Returns whether the process has ended, as its VM runs the one that started as `boot`: a VM runs
+    /// one process at a time, which holds its address from its start to its end.
+    pub fn is_replaced_by(&self, name: &str, addr: &str, boot: u64) -> bool {
+        let known = boot != 0 && self.boot != 0;
+        known && self.name == name && self.addr == addr && self.boot != boot
     }
 }
 
 impl LeaderRow {
-    /// Returns whether no earlier leader can send orders any more that were decided on after the
-    /// claim: it had given up the lead, or there was none.
-    pub fn succeeds_none(&self) -> bool {
+    /// Returns whether the leader before this one has certainly ended, or there was none.
+    pub fn follows_ended(&self) -> bool {
         match &self.before {
-            Some(before) => before.vacant,
+            Some(before) => {
+                before.vacant || before.is_replaced_by(&self.name, &self.addr, self.boot)
+            }
             None => self.epoch == FIRST_EPOCH,
         }
     }
--- a/src/fleet/election/members.rs
+++ b/src/fleet/election/members.rs
@@ -71,7 +71,7 @@
     /// Returns whether a later process of the VM that led before is connected.
     pub fn have_replaced(&self, before: &Predecessor) -> bool {
         let mut all = self.all.values();
-        all.any(|(member, _)| before.is_replaced_by(member))
+        all.any(|(member, _)| before.is_replaced_by(&member.name, &member.addr, member.boot))
     }
 
     /// Returns whether the VM at the other end of a connection is a deputy.
--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -411,7 +411,7 @@
         let lead = self.election.lead().and_then(|lead| lead.row.as_ref());
         let claim = lead.filter(|row| row.epoch == epoch);
         self.predecessor = claim.and_then(|row| row.before.clone());
-        let loading = Loading::new(epoch, claim.is_some_and(LeaderRow::succeeds_none));
+        let loading = Loading::new(epoch, claim.is_some_and(LeaderRow::follows_ended));
         self.leader.send_replace(Leader::Loading(loading.clone()));
         let parts = self.parts.clone();
         self.start(Kind::Load, |reporter| async move {
--- a/tests/election/area.rs
+++ b/tests/election/area.rs
@@ -9,6 +9,7 @@
 use trefoilgauge::fleet::election::Input;
 use trefoilgauge::fleet::election::LeadState;
 use trefoilgauge::fleet::election::LeaderRow;
+use trefoilgauge::fleet::election::Predecessor;
 use trefoilgauge::fleet::ports::Rows;
 use trefoilgauge::fleet::row::Row;
 
@@ -135,3 +136,36 @@
         "{actions:?}"
     );
 }
+
+/// Guards against a wait that is shortened although the leader before may still send orders.
+#[test]
+fn a_claim_follows_an_ended_leader_only_where_that_is_certain() {
+    let before = |name: &str, addr: &str, boot, vacant| Predecessor {
+        name: name.to_owned(),
+        addr: addr.to_owned(),
+        boot,
+        vacant,
+    };
+    let cases = [
+        (1, None, true),
+        // An earlier build does not name the leader before.
+        (2, None, false),
+        (2, Some(before("vm-1", "10.0.0.1:1", 6, false)), true),
+        (2, Some(before("vm-1", "10.0.0.1:1", 7, false)), false),
+        (2, Some(before("vm-1", "10.0.0.1:1", 0, false)), false),
+        (2, Some(before("vm-1", "10.0.0.2:1", 6, false)), false),
+        (2, Some(before("vm-2", "10.0.0.1:1", 6, false)), false),
+        (2, Some(before("vm-2", "10.0.0.2:1", 6, true)), true),
+    ];
+    for (epoch, before, ended) in cases {
+        let claim = LeaderRow {
+            epoch,
+            name: "vm-1".to_owned(),
+            addr: "10.0.0.1:1".to_owned(),
+            boot: 7,
+            before,
+            ..LeaderRow::default()
+        };
+        assert_eq!(claim.follows_ended(), ended, "{claim:?}");
+    }
+}
