fix(fleet): order no machine down while an earlier leader may

Cause: a leader sends orders until its lead has been unconfirmed for 7 s. A new leader waits that long before it settles runs that it cannot reach, but not before it orders machines down.

Change: no machine is ordered down until the earlier leaders have certainly sent their last order, and 1 s more for the way; draining begins at once. The wait is left out where the leader before is known to have ended.

`no_machine_is_ordered_down_while_an_earlier_leader_may_order_it` failed before.

--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -13,6 +13,9 @@
 use super::upstream::Upstream;
 use prost::Message;
 
+/// The longest time from the decision on an order to its arrival, in milliseconds.
+const TRANSIT_MS: u64 = 1_000;
+
 /// What a new leader knows of the earlier ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Takeover {
@@ -65,6 +68,11 @@
         }
     }
 
+    /// Returns whether every order that they sent has arrived at a receiver that checks no tokens.
+    pub(super) fn have_ordered(&self, now: u64) -> bool {
+        now >= self.ended_at + TRANSIT_MS
+    }
+
     /// Returns when each lease that they requested has certainly expired, local clock.
     pub(super) fn lease_end(&self, timing: &Timing) -> u64 {
         self.ended_at + Timing::max_local_ms(timing.lease_ms())
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -367,6 +367,9 @@
             active.stages.insert(id, Stage::Draining(until));
         }
         let wave = active.wave.number;
+        if !self.earlier.have_ordered(now) {
+            return;
+        }
         for (id, stage) in &mut active.stages {
             let order = match *stage {
                 Stage::Draining(until) => {
--- a/tests/fleet/upkeep.rs
+++ b/tests/fleet/upkeep.rs
@@ -1,5 +1,7 @@
 //! Maintenance that operators order: machines are drained and then go down, a few at a time.
 
+use super::cloud::UPKEEP_MS;
+use super::world::FIRST;
 use super::world::World;
 use super::world::step;
 use trefoilgauge::fleet::Event;
@@ -128,6 +130,32 @@
     );
 }
 
+/// Guards against a lower token after a higher one, where the platform does not check tokens.
+#[test]
+fn no_machine_is_ordered_down_while_an_earlier_leader_may_order_it() {
+    for ends in [false, true] {
+        let mut world = World::new(1, 4);
+        order_wave(&mut world, 30_000, 1);
+        while taken_down(&world) == 0 {
+            world.pass(10);
+        }
+        world.take_over();
+        order_wave(&mut world, 30_000, 1);
+        let orders = world.cloud.orders;
+        if ends {
+            world.tell(Event::PredecessorEnded);
+            world.pass(UPKEEP_MS + 5_000);
+            assert!(world.cloud.orders > orders);
+        } else {
+            world.pass(FIRST.order_ms);
+            assert_eq!(world.cloud.orders, orders);
+        }
+        world.pass(30_000);
+        assert_eq!(taken_down(&world), 4);
+        assert_eq!(world.cloud.most_down, 1);
+    }
+}
+
 #[test]
 fn a_machine_that_no_longer_exists_does_not_block_a_wave() {
     let mut world = World::new(1, 3);
