--- a/tests/fleet/handover.rs
+++ b/tests/fleet/handover.rs
@@ -90,8 +90,7 @@
     assert_eq!(world.phase("batch", 1), Some(Phase::Failed));
 }
 
-/// Guards against the rest of a gang that waits in vain for a member which an earlier leader
-/// settled.
+/// Guards against the rest of a gang that waits in vain for a member that is gone.
 #[test]
 fn the_rest_of_a_gang_that_lost_a_member_is_stopped_by_the_next_leader() {
     let mut world = World::new(2, 2);
