perf(fleet): compare the path before all queues are searched

Cause: since jobs keep their terms, the number of waiting jobs of a queue looked each waiting job of another queue up among all queues, on each such call.

Change: the path, a comparison of two strings, comes first; the search is left to the jobs whose path the queue serves.

--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -287,8 +287,9 @@
     /// path at which it was submitted if its own queue was removed.
     pub(super) fn is_of(&self, queue: &Queue, config: &Config) -> bool {
         let same_path = |terms: &Queue| terms.host == queue.host && terms.prefix == queue.prefix;
+        // The search among all queues comes last: this is asked of each waiting job.
         self.queue == queue.name
-            || config.queue(&self.queue).is_none() && self.terms.as_deref().is_some_and(same_path)
+            || self.terms.as_deref().is_some_and(same_path) && config.queue(&self.queue).is_none()
     }
 
     /// Returns the number of occurrences.
