fix(fleet): order a run to stop again at a process that was not told

Callers saw: nothing yet; found by reading. A task of a cancelled job would run on without limit, as its lease is renewed.

Cause: the response to an order to stop counted for the run wherever it is. If the process that responded is replaced before it reports the end, and the next one carries out the order to start the run, which has not timed out yet, the run is listed as being stopped and answered for. It was then neither ordered to stop again nor settled.

Change: a report that shows such a run at another process than before makes the order unanswered, and it is sent again (TG1622).

Evidence: a_stop_that_an_earlier_process_answered_is_sent_to_the_process _that_runs_on fails before (the run is at work 2 s after) and passes after.

--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -347,7 +347,14 @@
             }
             return;
         };
-        let moved = std::mem::replace(&mut live.born, born) != born;
+        let before = std::mem::replace(&mut live.born, born);
+        let moved = before != born;
+        // An earlier process may have responded to the order to stop.
+        let stop_again =
+            moved && live.stage == Stage::Stopping && live.answer_mark.take().is_some();
+        if stop_again {
+            live.progress_at = now;
+        }
         live.confirmed = true;
         if live.percent != work.percent {
             live.percent = work.percent;
@@ -363,6 +370,16 @@
         if moved {
             self.dirty.insert(work.run.task.job.clone());
         }
+        if stop_again {
+            log::info!(
+                "TG1622 job={} step={} index={} run={} upstream={at} is ordered again to stop: an earlier process responded to the order born={born} before={before}",
+                work.run.task.job,
+                work.run.task.step,
+                work.run.task.index,
+                work.run.number
+            );
+            self.send_stop(at, work.run.clone());
+        }
         self.reset_losses(now, &work.run);
         self.learn_speed(now, at, work);
         self.save(now, &work.run, &work.saved);
--- a/tests/fleet/stale.rs
+++ b/tests/fleet/stale.rs
@@ -170,6 +170,57 @@
     assert!(world.is_barred(&at, 1));
 }
 
+/// Lets job 1 be cancelled and its upstream answer the order to stop and restart, while the response
+/// to the order to start it is still missing.
+fn restart_after_stop(world: &mut World, at: &Name) {
+    world.upstreams.get_mut(at).unwrap().stalled = true;
+    world.work_ms.insert(task(1).job.to_string(), 1_000_000);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 1_000_000)]);
+    world.call("batch", "key-a", 1, Operation::Cancel);
+    world.restart(at);
+}
+
+/// Carries out the order to start job 1 at the present process of its upstream.
+fn start_late(world: &mut World, at: &Name) {
+    let now = world.now;
+    let late = Running {
+        number: 1,
+        start: now,
+        worked: now + 1_000_000,
+        end: now + 1_000_000,
+        pace: 100,
+        need: step(1, 1, 1_000_000).need(),
+        stopping: false,
+    };
+    let fake = world.upstreams.get_mut(at).unwrap();
+    if fake.barred.contains_key(&task(1)) {
+        return;
+    }
+    fake.running.insert(task(1), late);
+    fake.extend(now, timing().max_lease_ms);
+}
+
+fn time_out_start(world: &mut World, at: &Name) {
+    world.tell(Event::Started {
+        at: at.clone(),
+        run: first_run(1),
+        answer: Started::Silent,
+        clock: None,
+    });
+}
+
+/// Guards against a cancelled run at a new process, of which only the earlier one was told to stop it.
+#[test]
+fn a_stop_that_an_earlier_process_answered_is_sent_to_the_process_that_runs_on() {
+    let (mut world, at) = world();
+    restart_after_stop(&mut world, &at);
+    start_late(&mut world, &at);
+    world.list();
+    time_out_start(&mut world, &at);
+    world.pass(2_000);
+    assert_eq!(world.at_work(1), vec![]);
+}
+
 #[test]
 fn an_unanswered_acknowledgement_is_not_repeated_to_a_process_that_restarted_unnoticed() {
     let (mut world, at) = world();
