fix(fleet): bar a start that times out once its run is told to stop

Callers saw: nothing yet; found by reading. A task of a cancelled job could run for a whole lease at an upstream that no leader asks.

Cause: an order to start that times out while its run is being stopped was recorded as known to the present process. If the stop was answered by an earlier process, the present one was never told: its report omits the run, which is settled, and the order that arrives later starts it.

--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -42,7 +42,12 @@
     pub(super) fn started(&mut self, now: u64, at: &Name, run: &RunId, answer: Started) {
         gauge::started(answer);
         if answer == Started::Silent {
-            if self.live_run(at, run).is_some() {
+            let born = self.upstreams.get(at).map_or(0, |up| up.listing.born);
+            // A run that is being stopped may have been stopped at an earlier process only.
+            let told = self
+                .live_run(at, run)
+                .is_some_and(|live| live.stage != Stage::Stopping || live.born == born);
+            if told {
                 self.unanswered.add(now, at, run);
             } else {
                 self.unanswered.add_barred(now, at, run);
--- a/tests/fleet/stale.rs
+++ b/tests/fleet/stale.rs
@@ -221,6 +221,22 @@
     assert_eq!(world.at_work(1), vec![]);
 }
 
+/// Guards against a late start of a cancelled run whose order times out after the restart was noticed.
+#[test]
+fn a_start_that_times_out_while_its_run_is_stopped_is_barred_at_the_new_process() {
+    let (mut world, at) = world();
+    restart_after_stop(&mut world, &at);
+    let listing = world.upstreams[&at].listing.clone();
+    world
+        .scheduler
+        .step(world.now, Event::Listed(vec![listing]));
+    time_out_start(&mut world, &at);
+    world.pass(2_000);
+    start_late(&mut world, &at);
+    world.pass(1_000);
+    assert_eq!(world.at_work(1), vec![]);
+}
+
 #[test]
 fn an_unanswered_acknowledgement_is_not_repeated_to_a_process_that_restarted_unnoticed() {
     let (mut world, at) = world();
