fix(fleet): write the queued log lines before the process exits

Callers saw: a trefoil-vm whose address is taken exits with status 1, as it should, but its log usually ends without TG1104 and often holds no line at all, so nobody can tell why it is gone.

Cause: lines are queued to a thread that writes them; main returned, and with it the thread ended, before the queue was written. The last lines of a planned stop (TG1103) could be lost in the same way.

--- a/src/fleet/logging.rs
+++ b/src/fleet/logging.rs
@@ -8,8 +8,11 @@
 use simplelog::ConfigBuilder;
 use simplelog::WriteLogger;
 use std::io::Write;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::Sender;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::TrySendError;
+use std::sync::mpsc::channel;
 use std::sync::mpsc::sync_channel;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,20 +22,66 @@
 /// The most lines per second: several times what decisions under heavy load produce.
 const MAX_LINES_PER_S: u32 = 1_500;
 
-/// Installs the logger; a second call has no effect.
-pub fn start() {
-    let (tx, rx) = sync_channel::<Vec<u8>>(MAX_QUEUED_LINES);
+/// Interval between two attempts to queue behind a full queue, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 5;
+
+/// What the thread that writes the log receives.
+#[derive(Debug)]
+enum Entry {
+    /// A line to write.
+    Line(Vec<u8>),
+    /// Is dropped once all lines before it are written.
+    Mark(Sender<()>),
+}
+
+/// The running log.
+#[derive(Debug)]
+pub struct Log {
+    tx: SyncSender<Entry>,
+}
+
+impl Log {
+    /// Waits until the lines so far are written, for at most `limit_ms`: a reader of the log may
+    /// have stopped. A process that exits without it loses the lines that are still queued.
+    pub fn flush_within(&self, limit_ms: u64) {
+        let end = Instant::now() + Duration::from_millis(limit_ms);
+        let (mark, written) = channel();
+        let mut entry = Entry::Mark(mark);
+        while let Err(TrySendError::Full(unsent)) = self.tx.try_send(entry) {
+            // A stopped reader may hold up standard error too: there is nowhere to report it.
+            if Instant::now() >= end {
+                return;
+            }
+            entry = unsent;
+            std::thread::sleep(Duration::from_millis(POLL_INTERVAL_MS));
+        }
+        let left = end.saturating_duration_since(Instant::now());
+        match written.recv_timeout(left) {
+            Ok(()) | Err(RecvTimeoutError::Disconnected | RecvTimeoutError::Timeout) => {}
+        }
+    }
+}
+
+/// Installs the logger; that of a second call stays without lines.
+pub fn start() -> Log {
+    let (tx, rx) = sync_channel::<Entry>(MAX_QUEUED_LINES);
     let writer = std::thread::Builder::new().name("log".to_owned());
     let spawned = writer.spawn(move || {
         let mut out = std::io::stdout();
-        while let Ok(mut lines) = rx.recv() {
-            while let Ok(line) = rx.try_recv() {
-                lines.extend_from_slice(&line);
+        while let Ok(first) = rx.recv() {
+            let mut lines = Vec::new();
+            let mut marks = Vec::new();
+            for entry in std::iter::once(first).chain(rx.try_iter()) {
+                match entry {
+                    Entry::Line(line) => lines.extend_from_slice(&line),
+                    Entry::Mark(mark) => marks.push(mark),
+                }
             }
             // Without standard output there is nowhere to report the error.
             if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
                 return;
             }
+            drop(marks);
         }
     });
     if let Err(error) = spawned {
@@ -42,15 +91,16 @@
         .set_time_format_rfc3339()
         .add_filter_allow_str("trefoil")
         .build();
-    if WriteLogger::init(LevelFilter::Info, config, LineWriter::new(tx)).is_err() {
+    if WriteLogger::init(LevelFilter::Info, config, LineWriter::new(tx.clone())).is_err() {
         eprintln!("the logger is already installed");
     }
+    Log { tx }
 }
 
 /// Splits what is written into lines, and queues them without blocking.
 #[derive(Debug)]
-pub struct LineWriter {
-    tx: SyncSender<Vec<u8>>,
+struct LineWriter {
+    tx: SyncSender<Entry>,
     line: Vec<u8>,
     window_start: Instant,
     sent: u32,
@@ -59,7 +109,7 @@
 
 impl LineWriter {
     /// Makes a writer that sends its lines to `tx`.
-    pub fn new(tx: SyncSender<Vec<u8>>) -> Self {
+    fn new(tx: SyncSender<Entry>) -> Self {
         Self {
             tx,
             line: Vec::new(),
@@ -82,11 +132,11 @@
         self.sent += 1;
         if self.dropped > 0 {
             let text = format!("TG1109 log lines left out={}\n", self.dropped);
-            if self.tx.try_send(text.into_bytes()).is_ok() {
+            if self.tx.try_send(Entry::Line(text.into_bytes())).is_ok() {
                 self.dropped = 0;
             }
         }
-        match self.tx.try_send(line) {
+        match self.tx.try_send(Entry::Line(line)) {
             Ok(()) | Err(TrySendError::Disconnected(_)) => {}
             Err(TrySendError::Full(_)) => self.dropped += 1,
         }
