fix(fleet): record a lead that is given up once

Operators saw: a VM that gives up the lead while it cannot read the lead area appends the vacant row hundreds of times a second, 749 to 4,103 times in about 4 s; the store's rate of writes is shared by all VMs.

Cause: the append is conditional on the end of the area as last read. It was sent again as soon as a response had come, without a new read, so that each one but the first is refused.

Change: no second append is sent for an end of the area to which one was responded; the read or the watch that follows shows what is stored. After an append that was declined or got no response, it is sent again as before.

Evidence: a_lead_that_is_given_up_is_recorded_once_while_the_area_cannot _be_read fails before (an append for each of 995 responses) and passes after.

--- a/src/fleet/election/mod.rs
+++ b/src/fleet/election/mod.rs
@@ -94,6 +94,9 @@
     watching: bool,
     next_watch: u64,
     writing: bool,
+    /// The end of the area to which the last append was conditional: once it was responded to, no
+    /// other one succeeds there.
+    write_end: Option<Offset>,
     next_write: u64,
     /// How long to wait for the leader's answer to a challenge.
     answer_ms: u64,
@@ -126,6 +129,7 @@
             watching: false,
             next_watch: 0,
             writing: false,
+            write_end: None,
             next_write: 0,
             answer_ms: MIN_ANSWER_MS,
             answered_at: None,
@@ -255,6 +259,7 @@
             }
             Outcome::Moved => {}
             Outcome::Declined | Outcome::Unknown => {
+                self.write_end = None;
                 self.next_write = now + RETRY_MS;
                 self.next_read = now + RETRY_MS;
             }
@@ -362,6 +367,9 @@
 
     fn write(&mut self, terms: Terms, row: Row) {
         self.writing = true;
+        if let Terms::At(end) = terms {
+            self.write_end = Some(end);
+        }
         self.actions.push(Action::Write(terms, vec![row]));
     }
 
@@ -440,6 +448,10 @@
             return;
         }
         let Some(lead) = &self.lead else { return };
+        if self.write_end == Some(lead.end) {
+            // A read or the watch shows what was stored.
+            return;
+        }
         let Some(row) = lead.row.clone().filter(|row| row.epoch == epoch) else {
             return;
         };
--- a/tests/election/area.rs
+++ b/tests/election/area.rs
@@ -9,6 +9,7 @@
 use trefoilgauge::fleet::election::Input;
 use trefoilgauge::fleet::election::LeadState;
 use trefoilgauge::fleet::election::LeaderRow;
+use trefoilgauge::fleet::election::Outcome;
 use trefoilgauge::fleet::election::Predecessor;
 use trefoilgauge::fleet::ports::Rows;
 use trefoilgauge::fleet::row::Row;
@@ -169,3 +170,29 @@
         assert_eq!(claim.follows_ended(), ended, "{claim:?}");
     }
 }
+
+/// Guards against appends of the vacant row without end by a leader that gives up and gets no read.
+#[test]
+fn a_lead_that_is_given_up_is_recorded_once_while_the_area_cannot_be_read() {
+    for outcome in [Outcome::Stored, Outcome::Moved] {
+        let mut election = Election::new(candidate());
+        let mut appends = 0;
+        let mut step = |now, input| {
+            let actions = election.step(now, now, input);
+            let writes = actions
+                .iter()
+                .filter(|action| matches!(action, Action::Write(..)));
+            appends += writes.count();
+        };
+        step(0, Input::Tick);
+        step(1, Input::Read(Some(read(&[leader(5, "vm-1")]))));
+        step(2, Input::Loaded);
+        step(3, Input::Shutdown);
+        step(4, Input::Ended);
+        for now in 5..1_000 {
+            step(now, Input::Wrote(outcome, 1));
+            step(now, Input::Tick);
+        }
+        assert_eq!(appends, 1, "{outcome:?}");
+    }
+}
