fix(fleet): search one rack and several for victims in the same attempt

Cause: a gang that needs one rack may use several once a quarter of the bound has passed. The search for work to stop on one rack fails first and notes the time, so that it isn't repeated for 80 ms; the search on several racks follows at once, sees that note and is left out, each time. It was made only after the rule of one rack is dropped for all work, twice the predicted duration later.

Change: whether a search is due is decided once for both.

--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -296,7 +296,10 @@
         if wait.queue.priority != 0 {
             return false;
         }
-        if self.preempt(now, snapshot, wait, constraints, count) {
+        // Both searches below belong to one attempt: the failure of the first does not defer the
+        // second.
+        let may_search = !self.has_just_searched(now, wait);
+        if may_search && self.preempt(now, snapshot, wait, constraints, count) {
             return true;
         }
         // The guarantee has precedence over locality: use upstreams away from the data or on
@@ -312,7 +315,7 @@
                     self.start_gang(now, snapshot, wait, &chosen);
                     true
                 }
-                None => self.preempt(now, snapshot, wait, &relaxed, count),
+                None => may_search && self.preempt(now, snapshot, wait, &relaxed, count),
             };
         }
         // Its locality is relaxed soon, unlike that of other steps of its shape: do not record the
--- a/src/fleet/preempt.rs
+++ b/src/fleet/preempt.rs
@@ -37,7 +37,7 @@
         constraints: &Constraints<'_>,
         count: u32,
     ) -> bool {
-        if !self.inherited.allows_preemption(now) || self.has_just_searched(now, wait) {
+        if !self.inherited.allows_preemption(now) {
             return false;
         }
         let mut victims = match snapshot.victims.take() {
@@ -122,7 +122,7 @@
 
     /// Returns whether a search for victims for this step failed within the last
     /// [`SEARCH_RETRY_MS`]: little has changed since.
-    fn has_just_searched(&self, now: u64, wait: &WaitingStep) -> bool {
+    pub(super) fn has_just_searched(&self, now: u64, wait: &WaitingStep) -> bool {
         let job = self.jobs.get(&wait.job);
         let state = job.and_then(|job| job.step_state(wait.turn, wait.step));
         let searched_at = state.and_then(|state| state.searched_at);
--- a/tests/fleet/guarantees.rs
+++ b/tests/fleet/guarantees.rs
@@ -78,6 +78,34 @@
     );
 }
 
+/// Guards against a gang that waits for one rack while work on several could be stopped for it.
+#[test]
+fn urgent_work_within_a_guarantee_stops_other_work_on_several_racks_if_no_rack_can_be_freed() {
+    let mut world = World::new(2, 2);
+    world.work_ms.insert(format!("{:016x}", 3), 60_000);
+    world.submit("batch", "key-b", 3, vec![step(32, 1, 100)]);
+    world.pass(500);
+    assert_eq!(world.at_work(3).len(), 32);
+    world.work_ms.insert(format!("{:016x}", 5), 60_000);
+    for id in 1..=2 {
+        world.work_ms.insert(format!("{id:016x}"), 60_000);
+        let near = Step {
+            data_rack: format!("r1-{}", id - 1),
+            ..gang(1, 8, 60_000)
+        };
+        world.submit("urgent", "key-b", id, vec![near]);
+    }
+    world.pass(timing().reclaim_ms);
+    let at = |id| world.at_work(id).into_iter().map(|(_, _, at)| at);
+    let racks: Vec<String> = at(1).chain(at(2)).map(|at| at[..3].to_owned()).collect();
+    assert_eq!(racks.len(), 2);
+    assert_ne!(racks[0], racks[1]);
+    assert_eq!(at(3).count(), 16);
+    world.submit("urgent", "key-a", 5, vec![gang(2, 8, 60_000)]);
+    world.pass(timing().reclaim_ms);
+    assert_eq!(world.at_work(5).len(), 2);
+}
+
 /// Fills two upstreams with work that takes a minute, then submits urgent single tasks (no gang)
 /// that need an upstream each; returns how many are at work 2.7 s later.
 fn begun_in_time(tasks: u32) -> usize {
