feat(fleet): log orders to stop that get no response

On call nobody could tell from the log whether a run that goes on at an upstream was ordered to stop: a closed job is logged (TG1205), and what the next leader takes over (TG1621), but not that an order is repeated without a response. The two hypotheses of a cancelled task that runs on, a stop that was never sent and one that never arrives, looked the same.

TG1623 says it at the 2nd, 4th, 8th and so on order: run, upstream, start of its process, number of orders and age of the first. Log lines only; no decision depends on it.

--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -153,6 +153,7 @@
             return;
         }
         live.stage = Stage::Stopping;
+        live.stop_at = now;
         live.answer_mark = None;
         live.progress_at = now;
         let run = run_id(id, position, live.number);
@@ -176,6 +177,7 @@
         let mark = self.mark;
         if let Some(live) = self.live_run(at, &run) {
             live.order_mark = mark;
+            live.stops += 1;
         }
         let Some(upstream) = self.upstreams.get(at) else {
             return;
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -83,6 +83,8 @@
                     answer_mark: None,
                     order_mark: 0,
                     tries: 0,
+                    stops: 0,
+                    stop_at: now,
                     percent: 0,
                     progress_at: now,
                     saved_at: now,
--- a/src/fleet/stored.rs
+++ b/src/fleet/stored.rs
@@ -205,6 +205,8 @@
         order_mark: 0,
         silent: true,
         tries: 1,
+        stops: 0,
+        stop_at: now,
         percent: 0,
         progress_at: now,
         saved_at: now,
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -59,6 +59,10 @@
     pub(super) order_mark: u64,
     /// How many orders to start it were sent.
     pub(super) tries: u32,
+    /// How many orders to stop it were sent.
+    pub(super) stops: u32,
+    /// When it was decided to stop it, local clock.
+    pub(super) stop_at: u64,
     /// Its last reported progress, in percent.
     pub(super) percent: u32,
     /// When its progress last changed, or a stop order was last sent or went unanswered, local
--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -78,6 +78,19 @@
         for (at, run) in unanswered {
             if let Some(live) = self.live_run(&at, &run) {
                 live.progress_at = now;
+                // Doubling intervals keep the log short while an upstream is silent for long.
+                if live.stops > 1 && live.stops.is_power_of_two() {
+                    log::info!(
+                        "TG1623 job={} step={} index={} run={} upstream={at} born={} is still to stop: orders={} unanswered, the first {} ms ago",
+                        run.task.job,
+                        run.task.step,
+                        run.task.index,
+                        run.number,
+                        live.born,
+                        live.stops,
+                        now.saturating_sub(live.stop_at)
+                    );
+                }
             }
             self.send_stop(&at, run);
         }
