--- a/review/harness-2/src/cases/world.rs
+++ b/review/harness-2/src/cases/world.rs
@@ -22,6 +22,11 @@
 /// How long a deployment may take until it answers, in milliseconds.
 const START_MS: u64 = 10_000;
 
+/// How many lines of the log of each machine the record has from its begin and from its end.
+const LOG_LINES: usize = 80;
+/// How much it has of each line, in characters.
+const LOG_CHARS: usize = 240;
+
 /// What sets the deployments of the cases apart.
 #[derive(Debug, Clone)]
 pub(crate) struct Size {
@@ -150,11 +155,16 @@
         runs
     }
 
-    /// Writes the logs of the machines down.
+    /// Writes the logs of the machines down: of each the first and the last lines, shortened.
     pub(crate) fn note_logs(&self) {
         for vm in &self.vms {
-            for line in vm.log() {
-                self.record.note(format!("log of {}: {line}", vm.name));
+            let lines = vm.log();
+            let last = lines.len().saturating_sub(LOG_LINES).max(LOG_LINES);
+            for (number, line) in lines.iter().enumerate() {
+                if number < LOG_LINES || number >= last {
+                    let text: String = line.chars().take(LOG_CHARS).collect();
+                    self.record.note(format!("log of {}: {text}", vm.name));
+                }
             }
         }
     }
