fix(fleet): confirm the lead after a suspension before starting anything

Cause: the response to an append confirms the lead at the time at which the append was sent, but its effects were carried out whenever it was handled; the only bound was the 7 s that let running work survive an outage.

Change: a leader notes when it last ran. After a gap of 250 ms, starts and orders to take machines down wait for a confirmation that was requested after it. Renewals and stops do not wait: they need no store.

--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -18,6 +18,8 @@
 use crate::fleet::event::Operation;
 use crate::fleet::event::Reply;
 use crate::fleet::gauge;
+use crate::fleet::mandate::Mandate;
+use crate::fleet::mandate::Permit;
 use crate::fleet::ports::Area;
 use crate::fleet::ports::Error;
 use crate::fleet::ports::Store;
@@ -48,10 +50,6 @@
 /// in milliseconds: a store that responds 60 times as slowly as usual confirms within 1.2 s, and
 /// other VMs wait some time after the report.
 pub(super) const MAX_CONFIRMED_AGE_MS: u64 = 1_000;
-/// The age of the last confirmation above which no order is sent, in milliseconds: with the lease
-/// added, running work survives a store outage of 10 s. The next leader waits as long for upstreams
-/// that it cannot reach.
-pub(super) const MAX_ORDER_AGE_MS: u64 = 7_000;
 /// The duration of an append above which new jobs are refused, in milliseconds.
 const STALLED_MS: u64 = 1_000;
 /// The largest append, in bytes: half of the limit of the store.
@@ -154,6 +152,10 @@
     rows: Vec<Row>,
     /// Effects that wait until `rows` are stored.
     gated: Vec<Effect>,
+    /// Whether the lead allows orders.
+    mandate: Mandate,
+    /// Orders that wait until the store has confirmed the lead again.
+    unconfirmed: Vec<Effect>,
     /// Why this VM must stop leading, once it must.
     resigned: Option<String>,
     meter: Meter,
@@ -178,16 +180,18 @@
     effects: Vec<Effect>,
 }
 
-/// Makes the engine of a leader that read the configuration at `config_at` (local clock).
+/// Makes the engine of a leader that read the configuration at `config_at` and whose lead was
+/// confirmed by an append sent at `fenced_at` (local clock).
 pub(super) fn new(
     parts: Parts,
     scheduler: Scheduler,
     epoch: u64,
     config_at: u64,
+    fenced_at: u64,
 ) -> (Engine, EngineTask) {
     let (tx, rx) = mpsc::channel(MAX_QUEUED);
     let status = Arc::new(EngineStatus::default());
-    status.confirmed_at.store(boot_ms(), Ordering::Relaxed);
+    status.confirmed_at.store(fenced_at, Ordering::Relaxed);
     status.config_at.store(config_at, Ordering::Relaxed);
     status.ready.store(scheduler.is_ready(), Ordering::Relaxed);
     let engine = Engine {
@@ -206,6 +210,8 @@
         last_call: 0,
         rows: Vec::new(),
         gated: Vec::new(),
+        mandate: Mandate::new(fenced_at),
+        unconfirmed: Vec::new(),
         resigned: None,
         meter: Meter::new(TICK_MS),
     };
@@ -240,7 +246,7 @@
                     let Some(done) = append.take() else { continue };
                     match result {
                         Ok(sent) => {
-                            self.status.confirmed_at.fetch_max(sent, Ordering::Relaxed);
+                            self.confirmed(sent);
                             gauge::appended(done.rows, boot_ms().saturating_sub(done.since));
                             for effect in done.effects {
                                 self.execute(effect);
@@ -253,6 +259,9 @@
                     if append.as_ref().is_some_and(|a| boot_ms() > a.since + STALLED_MS) {
                         self.withdraw();
                     }
+                    if let Some(order) = self.unconfirmed.pop() {
+                        self.execute(order);
+                    }
                     let (open, all, silent) = self.scheduler.counts();
                     gauge::state(age(&self.status.config_at), open, all, silent);
                     self.meter.tick(self.rx.len());
@@ -381,7 +390,8 @@
             for effect in std::mem::take(&mut self.gated) {
                 self.execute(effect);
             }
-            if age(&self.status.confirmed_at) < CONFIRM_MS {
+            let wanted = !self.unconfirmed.is_empty() && !self.mandate.is_confirmed();
+            if age(&self.status.confirmed_at) < CONFIRM_MS && !wanted {
                 return None;
             }
         }
@@ -429,23 +439,46 @@
             .collect()
     }
 
+    /// Records that the store has answered an append sent at `sent`, and carries out the orders that
+    /// waited for that.
+    fn confirmed(&mut self, sent: u64) {
+        self.status.confirmed_at.fetch_max(sent, Ordering::Relaxed);
+        self.note_awake();
+        self.mandate.confirm(sent);
+        if self.mandate.is_confirmed() {
+            for order in std::mem::take(&mut self.unconfirmed) {
+                self.execute(order);
+            }
+        }
+    }
+
+    /// Records that this process runs, and logs if it was suspended.
+    fn note_awake(&mut self) -> u64 {
+        let now = boot_ms();
+        if let Some(paused_ms) = self.mandate.note_awake(now) {
+            log::info!(
+                "TG1325 epoch={} this process was suspended for {paused_ms} ms; new orders wait until the store confirms the lead again confirmed_ms={}",
+                self.epoch,
+                age(&self.status.confirmed_at)
+            );
+        }
+        now
+    }
+
     fn execute(&mut self, effect: Effect) {
-        let unconfirmed = age(&self.status.confirmed_at) > MAX_ORDER_AGE_MS;
-        let is_order = matches!(
-            effect,
-            Effect::Start { .. }
-                | Effect::Stop { .. }
-                | Effect::Pace { .. }
-                | Effect::Hold { .. }
-                | Effect::TakeDown { .. }
-                | Effect::Announce { .. }
-        );
-        if unconfirmed && is_order {
-            let silence = age(&self.status.confirmed_at);
-            self.resigned = Some(format!(
-                "the store has not confirmed the lead for {silence} ms"
-            ));
-            return;
+        let now = self.note_awake();
+        match self.mandate.permit(&effect, now) {
+            Permit::Send => {}
+            Permit::Confirm => {
+                self.unconfirmed.push(effect);
+                return;
+            }
+            Permit::Resign(silence) => {
+                self.resigned = Some(format!(
+                    "the store has not confirmed the lead for {silence} ms"
+                ));
+                return;
+            }
         }
         match effect {
             Effect::Reply { call, reply } => self.answer(call, reply),
--- a/src/fleet/host/lead.rs
+++ b/src/fleet/host/lead.rs
@@ -428,11 +428,13 @@
         let epoch = loading.epoch;
         let Loaded {
             scheduler,
+            fenced_at,
             config_at,
             directives,
             discovery,
         } = loaded;
-        let (engine, task) = engine::new(self.parts.clone(), scheduler, epoch, config_at);
+        let (engine, task) =
+            engine::new(self.parts.clone(), scheduler, epoch, config_at, fenced_at);
         let (store, events) = (self.parts.store.clone(), engine.clone());
         self.start(Kind::Configs, |_| {
             watch::follow_directives(store, events, directives)
--- a/src/fleet/host/load.rs
+++ b/src/fleet/host/load.rs
@@ -9,6 +9,7 @@
 use crate::fleet::clock::wall_ms;
 use crate::fleet::leases::Takeover;
 use crate::fleet::load::Loader;
+use crate::fleet::mandate::MAX_ORDER_AGE_MS;
 use crate::fleet::ports::Area;
 use crate::fleet::ports::Error;
 use crate::fleet::ports::Terms;
@@ -51,6 +52,8 @@
 #[derive(Debug)]
 pub(super) struct Loaded {
     pub(super) scheduler: Scheduler,
+    /// When the append that fenced the earlier leaders was sent (local clock).
+    pub(super) fenced_at: u64,
     /// When the configuration was read (local clock).
     pub(super) config_at: u64,
     /// Where to continue reading the operators' records.
@@ -73,7 +76,7 @@
     };
     // Not read: while loading, `note_answer` tracks whether the store responds.
     let declines = Declines::default();
-    engine::append(store, terms, &[], &declines)
+    let fenced_at = engine::append(store, terms, &[], &declines)
         .await
         .map_err(text)?;
     loading.note_answer();
@@ -98,7 +101,7 @@
     loading.note_answer();
     let takeover = Takeover {
         epoch: loading.epoch,
-        order_ms: engine::MAX_ORDER_AGE_MS,
+        order_ms: MAX_ORDER_AGE_MS,
         ended: loading.ended,
     };
     let (now, wall) = (boot_ms(), wall_ms());
@@ -126,6 +129,7 @@
     );
     Ok(Loaded {
         scheduler,
+        fenced_at,
         config_at,
         directives: feed.next,
         discovery,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 pub mod leases;
 pub mod load;
 pub mod logging;
+pub mod mandate;
 pub mod model;
 mod pace;
 mod plan;
--- a/tests/fleet_hazards/engine.rs
+++ b/tests/fleet_hazards/engine.rs
@@ -7,7 +7,6 @@
 use super::leader::CONFIRM_MS;
 use super::leader::Leader;
 use super::leader::Life;
-use super::leader::MAX_ORDER_AGE_MS;
 use super::leader::Received;
 use super::leader::TICK_MS;
 use super::orders::Kind;
@@ -18,6 +17,8 @@
 use trefoilgauge::fleet::Effect;
 use trefoilgauge::fleet::Event;
 use trefoilgauge::fleet::leases::Takeover;
+use trefoilgauge::fleet::mandate::MAX_ORDER_AGE_MS;
+use trefoilgauge::fleet::mandate::Permit;
 use trefoilgauge::prelude::*;
 
 /// The time limit of an append, in milliseconds.
@@ -63,7 +64,9 @@
             for effect in std::mem::take(&mut self.leaders[leader].gated) {
                 self.execute(leader, effect);
             }
-            if now - self.leaders[leader].confirmed_at < CONFIRM_MS {
+            let this = &self.leaders[leader];
+            let wanted = !this.unconfirmed.is_empty() && !this.mandate.is_confirmed();
+            if now - this.confirmed_at < CONFIRM_MS && !wanted {
                 return;
             }
         }
@@ -135,6 +138,7 @@
 
     /// Handles the answer to an append.
     pub(crate) fn appended(&mut self, leader: usize, attempt: u64, valid: bool) {
+        let now = self.now;
         let this = &mut self.leaders[leader];
         match this.life {
             Life::Gone => return,
@@ -152,7 +156,10 @@
             return;
         }
         this.confirmed_at = this.confirmed_at.max(append.sent);
-        for effect in append.effects {
+        this.mandate.note_awake(now);
+        this.mandate.confirm(append.sent);
+        let waiting = std::mem::take(&mut this.unconfirmed);
+        for effect in waiting.into_iter().chain(append.effects) {
             self.execute(leader, effect);
         }
         self.pass(leader);
@@ -165,13 +172,17 @@
             return;
         }
         let local = now + this.offset;
-        let is_order = matches!(
-            effect,
-            Effect::Start { .. } | Effect::Stop { .. } | Effect::Hold { .. }
-        );
-        if is_order && now - this.confirmed_at > MAX_ORDER_AGE_MS {
-            self.resign(leader, "the store has not confirmed the lead");
-            return;
+        this.mandate.note_awake(now);
+        match this.mandate.permit(&effect, now) {
+            Permit::Send => {}
+            Permit::Confirm => {
+                this.unconfirmed.push(effect);
+                return;
+            }
+            Permit::Resign(_) => {
+                self.resign(leader, "the store has not confirmed the lead");
+                return;
+            }
         }
         match effect {
             Effect::Reply { call, reply } => self.replied(leader, call, reply),
--- a/tests/fleet_hazards/leader.rs
+++ b/tests/fleet_hazards/leader.rs
@@ -9,6 +9,7 @@
 use trefoilgauge::fleet::Effect;
 use trefoilgauge::fleet::Scheduler;
 use trefoilgauge::fleet::leases::Takeover;
+use trefoilgauge::fleet::mandate::Mandate;
 use trefoilgauge::fleet::row::Row;
 use trefoilgauge::fleet::timing::Timing;
 use trefoilgauge::prelude::*;
@@ -16,8 +17,6 @@
 /// The age of the last confirmation from which on an empty append confirms the lead, in
 /// milliseconds.
 pub(crate) const CONFIRM_MS: u64 = 700;
-/// The age of the last confirmation above which no order is sent, in milliseconds.
-pub(crate) const MAX_ORDER_AGE_MS: u64 = 7_000;
 /// The time between two checks for what is due, in milliseconds.
 pub(crate) const TICK_MS: u64 = 50;
 
@@ -91,6 +90,9 @@
     pub append: Option<Append>,
     pub sequence: u64,
     pub confirmed_at: u64,
+    pub mandate: Mandate,
+    /// Orders that wait until the store has confirmed the lead again.
+    pub unconfirmed: Vec<Effect>,
     /// Until when its calls of the store get no answer.
     pub cut_until: u64,
     /// When it had loaded the rows.
@@ -132,6 +134,8 @@
             append: None,
             sequence: 0,
             confirmed_at: now,
+            mandate: Mandate::new(now),
+            unconfirmed: Vec::new(),
             cut_until: 0,
             loaded_at: now,
             resumed_at: 0,
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -24,12 +24,16 @@
 use trefoilgauge::fleet::event::OrderOutcome;
 use trefoilgauge::fleet::event::Reading;
 use trefoilgauge::fleet::event::Reply;
+use trefoilgauge::fleet::event::Report;
+use trefoilgauge::fleet::event::RunProgress;
 use trefoilgauge::fleet::event::Started;
 use trefoilgauge::fleet::host;
 use trefoilgauge::fleet::host::Host;
 use trefoilgauge::fleet::host::Parts;
 use trefoilgauge::fleet::model::Config;
+use trefoilgauge::fleet::model::Listing;
 use trefoilgauge::fleet::model::Queue;
+use trefoilgauge::fleet::model::ResourceAmounts;
 use trefoilgauge::fleet::model::RunId;
 use trefoilgauge::fleet::model::Spec;
 use trefoilgauge::fleet::model::Step;
@@ -116,6 +120,44 @@
     }
 }
 
+/// Upstreams that carry out every order, and record the starts.
+#[derive(Debug, Default)]
+struct ObedientUpstreams {
+    started: Mutex<Vec<RunId>>,
+}
+
+impl Upstreams for ObedientUpstreams {
+    fn start(&self, _: Target, order: StartOrder) -> BoxFuture<'_, (Started, Option<Reading>)> {
+        self.started.lock().unwrap().push(order.run);
+        Box::pin(async { (Started::Yes, None) })
+    }
+
+    fn stop(&self, _: Target, _: RunId) -> BoxFuture<'_, (OrderOutcome, Option<Reading>)> {
+        Box::pin(async { (OrderOutcome::Yes, None) })
+    }
+
+    fn pace(&self, _: Target, _: RunId, _: u32) -> BoxFuture<'_, OrderOutcome> {
+        Box::pin(async { OrderOutcome::Yes })
+    }
+
+    fn hold(&self, _: Target, _: HoldOrder) -> BoxFuture<'_, (Held, Option<Reading>)> {
+        let started = self.started.lock().unwrap();
+        let running = started.iter().map(|run| RunProgress {
+            run: run.clone(),
+            saved: String::new(),
+            percent: 0,
+            metric: 0,
+        });
+        let report = Report {
+            born: 1,
+            running: running.collect(),
+            ended: Vec::new(),
+            more: false,
+        };
+        Box::pin(async { (Held::Report(report), None) })
+    }
+}
+
 fn parts(store: Arc<dyn Store>) -> Parts {
     Parts {
         name: "vm-1".into(),
@@ -158,6 +200,13 @@
     declined: AtomicU64,
     /// The configuration, if it is not the default one.
     config: Mutex<Option<Config>>,
+    /// The upstreams in discovery.
+    listings: Vec<Listing>,
+    /// For how long the process is suspended once as the response to rows of jobs is on its way, in
+    /// milliseconds.
+    suspend_ms: AtomicU64,
+    /// Whether another VM takes the lead while it is suspended.
+    replaced: AtomicBool,
 }
 
 impl MemoryStore {
@@ -181,6 +230,15 @@
         Ok(())
     }
 
+    /// Suspends the process, all of which runs on one thread.
+    fn suspend(&self) {
+        let ms = self.suspend_ms.swap(0, Ordering::Relaxed);
+        if ms > 0 && self.replaced.load(Ordering::Relaxed) {
+            self.fence.fetch_add(1, Ordering::Relaxed);
+        }
+        std::thread::sleep(Duration::from_millis(ms));
+    }
+
     fn lead(&self) -> LeadState {
         let rows = self.rows(Area::Lead);
         let end = rows.len() as u64;
@@ -238,6 +296,9 @@
                 return Err(Error::Silent("stalled".to_owned()));
             }
             self.write(area, terms, rows)?;
+            if rows.iter().any(|row| row.key.starts_with("j.")) {
+                self.suspend();
+            }
             if unacknowledged {
                 pending::<()>().await;
             }
@@ -269,12 +330,14 @@
         Box::pin(async { Ok(()) })
     }
 
-    fn discovery(&self, _: Option<Offset>) -> BoxFuture<'_, Result<Feed<DiscoveryChange>>> {
-        Box::pin(async {
+    fn discovery(&self, from: Option<Offset>) -> BoxFuture<'_, Result<Feed<DiscoveryChange>>> {
+        let listings = self.listings.iter().filter(|_| from.is_none());
+        let items = listings.cloned().map(DiscoveryChange::Listed).collect();
+        Box::pin(async move {
             Ok(Feed {
-                items: Vec::new(),
+                items,
                 next: 0,
-                snapshot: false,
+                snapshot: from.is_none(),
             })
         })
     }
@@ -580,6 +643,55 @@
     assert_eq!(store.lead().epoch(), 1);
 }
 
+/// Submits a job to a VM that is suspended before it hears that the job is stored; returns the starts
+/// that its upstream has received by some time later. Another VM takes the lead meanwhile if
+/// `replaced`.
+async fn starts_after_suspension(replaced: bool) -> Vec<RunId> {
+    let listing = Listing {
+        id: "upstream-1".into(),
+        addr: "10.0.0.1:80".into(),
+        service: "service".into(),
+        centre: "coast-1".into(),
+        born: 1,
+        room: ResourceAmounts {
+            cpu: 8_000,
+            ..ResourceAmounts::default()
+        },
+        labels: Vec::new(),
+        clock_ms: 1_000,
+        ready: true,
+        left_ms: None,
+    };
+    let store = Arc::new(MemoryStore {
+        listings: vec![listing],
+        replaced: AtomicBool::new(replaced),
+        ..MemoryStore::default()
+    });
+    let upstreams = Arc::new(ObedientUpstreams::default());
+    let vm = host::spawn(Parts {
+        upstreams: upstreams.clone(),
+        ..parts(store.clone())
+    });
+    let vm = vm.await.unwrap();
+    wait_until(|| vm.is_ready()).await;
+    store.suspend_ms.store(400, Ordering::Relaxed);
+    vm.call(call(1, submission()), 3_000).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    upstreams.started.lock().unwrap().clone()
+}
+
+/// Guards against TWICE: a leader that was replaced while it was suspended must not start what it had
+/// decided to start, as an upstream that has restarted since knows no higher token.
+#[tokio::test]
+async fn a_leader_that_was_suspended_and_replaced_starts_nothing() {
+    assert_eq!(starts_after_suspension(true).await, Vec::new());
+}
+
+#[tokio::test]
+async fn a_leader_that_was_suspended_starts_what_it_decided_once_its_lead_is_confirmed() {
+    assert_eq!(starts_after_suspension(false).await.len(), 1);
+}
+
 /// A process that exits must reply to the calls that it has read.
 #[tokio::test]
 async fn pending_calls_are_answered_before_the_process_exits() {
