fix(fleet): count leases from the least that an upstream's clock may show

Cause: the end of a lease was reckoned from the last reading as if the clock were exact; a slow clock got 2.3% of the age of the reading more. The granting leader allowed for it, the next one cannot know.

Change: a lease is counted from the least that the clock may show; a leader asks upstreams without work for a report each 60 s, which keeps the shortening of a lease below 1.4 s. No wait is longer.

--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -22,6 +22,9 @@
 /// The longest time that an upstream may delay its report where serving tasks may be disturbed,
 /// in milliseconds: their reported tail latencies are those of the last half second.
 const MAX_MIXED_WAIT_MS: u64 = 500;
+/// The time after the last renewal from which on an upstream without runs is asked for a report, in
+/// milliseconds: its clock is then known so well that a lease is at most 1.4 s shorter than asked for.
+const IDLE_LOOK_MS: u64 = 60_000;
 /// The shortest time between two renewals of one upstream while one is under way, in milliseconds.
 const MIN_REPORT_GAP_MS: u64 = 60;
 
@@ -72,7 +75,7 @@
     /// When to request an additional report, local clock.
     pub(super) report_at: Option<u64>,
     /// When it is asked for a report although no run of this leader is there, local clock: to tell it
-    /// the fencing token, and to find runs that no leader knows.
+    /// the fencing token, to read its clock, and to find runs that no leader knows.
     pub(super) look_at: Option<u64>,
     /// When it is polled again if it does not respond, local clock.
     pub(super) retry_at: u64,
@@ -207,14 +210,17 @@
         self.lease_end = self.lease_end.max(end);
     }
 
-    /// Returns the end of a lease of `lease_ms` from now, on its clock, and records when that lease
-    /// has certainly expired.
+    /// Returns the end of a lease of at most `lease_ms` from now, on its clock, and records when that
+    /// lease has certainly expired.
+    ///
+    /// It is counted from the least that the clock may show: the next leader does not know how old
+    /// the reading is, and waits for `lease_ms` alone.
     pub(super) fn grant(&mut self, now: u64, lease_ms: u64) -> u64 {
         let passed = now.saturating_sub(self.clock.at);
-        let until = self.clock.clock_ms + passed + lease_ms;
-        let end = self.clock.at + Timing::max_local_ms(passed + lease_ms);
+        let least = self.clock.clock_ms + passed - passed.div_ceil(CLOCK_SLOW_PART);
+        let end = now + Timing::max_local_ms(lease_ms);
         self.lease_end = self.lease_end.max(end);
-        until
+        least + lease_ms
     }
 
     /// Returns from when on it may be gone, local clock; none if it is not about to leave.
@@ -337,9 +343,7 @@
         };
         self.holds += 1;
         self.renewed_at = now;
-        if look_due {
-            self.look_at = None;
-        }
+        self.look_at = Some(now + IDLE_LOOK_MS);
         // Not sent again once answered, nor before a report after silence: it would mean other ends
         // to a process that has taken the place of this one.
         self.acknowledging = if self.misses == 0 && self.acknowledged < self.seen {
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -79,6 +79,8 @@
     pub stop_ms: u64,
     /// When a new process replaces the one that crashed.
     pub back_at: Option<u64>,
+    /// How slow its clock is, in thousandths.
+    pub clock_slow: u64,
     /// When its process started; its clock begins at 0 then.
     origin: u64,
     ends: u64,
@@ -111,6 +113,7 @@
             leaves: None,
             stop_ms: 0,
             back_at: None,
+            clock_slow: 0,
             origin: 0,
             ends: 0,
             reported: 0,
@@ -122,7 +125,7 @@
 
     /// Returns its steady clock at `now`.
     pub(crate) fn clock(&self, now: u64) -> u64 {
-        now - self.origin
+        (now - self.origin) * (1_000 - self.clock_slow) / 1_000
     }
 
     /// Replaces its process by a new one under the same identity, which knows nothing of the
@@ -135,6 +138,7 @@
             origin: now,
             base_ms: self.base_ms,
             slowdown_ms: self.slowdown_ms,
+            clock_slow: self.clock_slow,
             time_percent: self.time_percent,
             listing,
             ..Self::new(&self.listing.id, 0)
--- a/tests/fleet/handover.rs
+++ b/tests/fleet/handover.rs
@@ -169,6 +169,28 @@
     assert_eq!(world.runs_begun(1), 2);
 }
 
+/// Guards against a second run beside one whose lease was counted from an old reading of a slow clock.
+#[test]
+fn a_lease_by_an_old_reading_of_a_slow_clock_ends_before_the_next_leader_gives_it_up() {
+    for idle_ms in [30_000, 90_000, 119_000, 600_000] {
+        let mut world = World::new(2, 2);
+        for fake in world.upstreams.values_mut() {
+            fake.clock_slow = 20;
+        }
+        world.list();
+        world.pass(idle_ms);
+        world.work_ms.insert(format!("{:016x}", 1), LONG_MS);
+        world.submit("batch", "key-a", 1, vec![step(1, 1, LONG_MS)]);
+        let at: Vec<Name> = world.at_work(1).into_iter().map(|(_, _, at)| at).collect();
+        set(&mut world, &at, Behaviour::Silent);
+        world.take_over();
+        world.tell(Event::PredecessorEnded);
+        // The world panics if a task runs twice.
+        world.pass(timing().max_lease_ms + 2_000);
+        assert_eq!(world.runs_begun(1), 2, "after {idle_ms} ms");
+    }
+}
+
 /// Guards against a wait for all earlier leaders by each leader anew.
 #[test]
 fn a_leader_that_waited_for_the_earlier_ones_spares_the_next_one_that_wait() {
