fix(fleet): store that an upstream restarted for the next leader

Cause: an order that is sent before the restart is known names the end of its lease on the clock of the earlier process; the new one cuts it to max-hold-ms. The leader that notices the restart waits for that, in its memory alone. The next leader takes the lease that it would ask for as the longest.

Change: the restart is stored before any order that follows from it; the next leader waits for such leases at these upstreams, and at those whose entry shows another process than the one that its rows name.

--- a/src/fleet/discovery.rs
+++ b/src/fleet/discovery.rs
@@ -114,6 +114,16 @@
                     known.seen
                 );
             }
+            if known.has_replaced_holder(&listing) {
+                log::info!(
+                    "TG1521 upstream={} restarted under an earlier leader born={} before={} runs={}",
+                    listing.id,
+                    listing.born,
+                    known.holder_born,
+                    known.runs.len()
+                );
+                known.foreign_end = self.restarted.notice(&listing.id, now, &self.timing);
+            }
             known.rack = listing.rack();
             known.listed = true;
             known.evacuated = evacuated;
@@ -124,7 +134,7 @@
             }
             if listing.born > before && before != 0 {
                 known.reset_process(mark);
-                known.extend_leases(now, &self.timing);
+                known.foreign_end = self.restarted.notice(&listing.id, now, &self.timing);
                 // The call for a report also tells the new process the fencing token.
                 known.suspect(now);
                 known.report_wanted = true;
@@ -153,6 +163,7 @@
         self.unanswered.replaced(&listing.id);
         let id = listing.id.clone();
         let mut upstream = Upstream::new(listing, now);
+        upstream.foreign_end = self.restarted.lease_end(&id);
         upstream.evacuated = evacuated;
         upstream.note_leaving();
         // Not all at once: a small VM that takes the lead has other calls to make.
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 
 /// The longest time from the decision on an order to its arrival, in milliseconds.
-const TRANSIT_MS: u64 = 1_000;
+pub(super) const TRANSIT_MS: u64 = 1_000;
 
 /// What a new leader knows of the earlier ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -128,6 +128,6 @@
 impl Upstream {
     /// Returns when every lease has certainly expired, local clock.
     pub(super) fn leases_end(&self) -> u64 {
-        self.lease_end.max(self.inherited_end)
+        self.lease_end.max(self.inherited_end).max(self.foreign_end)
     }
 }
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -5,6 +5,8 @@
 use super::row::JobRow;
 use super::row::LeadersRow;
 use super::row::MAX_CLOSED;
+use super::row::RESTART_PREFIX;
+use super::row::RestartRow;
 use super::row::Row;
 use super::row::StateRow;
 use super::row::WaveRow;
@@ -33,6 +35,8 @@
     states: HashMap<String, StateRow>,
     waves: Vec<(u64, WaveRow)>,
     leaders: LeadersRow,
+    /// Upstreams that an earlier leader saw restart.
+    restarted: Vec<Name>,
     /// Jobs with a row that cannot be decoded.
     unreadable: BTreeSet<Name>,
     /// Waves with a row that cannot be decoded.
@@ -70,6 +74,10 @@
                     return Err(invalid(error));
                 }
             }
+        } else if let Some(upstream) = row.key.strip_prefix(RESTART_PREFIX) {
+            // Its key alone says what matters.
+            self.restarted.push(upstream.into());
+            RestartRow::decode(&*row.value).map_err(invalid)?;
         } else if row.key == leaders_key() {
             self.leaders = LeadersRow::decode(&*row.value).map_err(invalid)?;
         }
@@ -96,6 +104,10 @@
     ) -> Scheduler {
         let mut scheduler = Scheduler::new(timing, now, wall_ms);
         scheduler.earlier = EarlierLeaders::new(takeover, self.leaders.ended_before, now);
+        for at in std::mem::take(&mut self.restarted) {
+            log::info!("TG1522 upstream={at} restarted lately, as an earlier leader stored");
+            scheduler.restarted.load(at, now, &scheduler.timing);
+        }
         for (number, state) in std::mem::take(&mut self.waves) {
             scheduler.upkeep.load(number, state);
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -33,6 +33,7 @@
 pub mod ports;
 mod preempt;
 mod restart;
+mod restarted;
 pub mod row;
 mod runs;
 mod scheduler;
--- a/src/fleet/row.rs
+++ b/src/fleet/row.rs
@@ -187,6 +187,22 @@
     pub ended_before: u64,
 }
 
+/// An upstream that has restarted under its identity lately. Earlier builds ignore it.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct RestartRow {
+    /// When that was noticed, Unix milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub noticed_ms: u64,
+}
+
+/// What precedes the upstream in the key of a [`RestartRow`].
+pub(super) const RESTART_PREFIX: &str = "u.";
+
+/// Returns the key of the [`RestartRow`] of an upstream.
+pub fn restart_key(upstream: &str) -> String {
+    format!("{RESTART_PREFIX}{upstream}")
+}
+
 /// Returns the key of the [`LeadersRow`].
 pub fn leaders_key() -> String {
     "leaders".to_owned()
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -285,7 +285,7 @@
                     upstream.misses
                 );
                 upstream.reset_process(present);
-                upstream.extend_leases(now, &self.timing);
+                upstream.foreign_end = self.restarted.notice(at, now, &self.timing);
                 self.unanswered.replaced(at);
                 self.next_watch = now;
             }
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -18,6 +18,7 @@
 use super::model::RunId;
 use super::model::Step;
 use super::model::TaskId;
+use super::restarted::Restarted;
 use super::row::Row;
 use super::row::job_key;
 use super::row::state_key;
@@ -91,6 +92,8 @@
     pub(super) inherited: Inherited,
     /// The earlier leaders, whose leases may last.
     pub(super) earlier: EarlierLeaders,
+    /// Upstreams that may hold a lease by the clock of an earlier process.
+    pub(super) restarted: Restarted,
     /// Runs that were lost with their upstreams.
     pub(super) lost: LostRuns,
     /// Orders to start a run that got no response and may still be carried out.
@@ -153,6 +156,7 @@
             touched: BTreeSet::new(),
             inherited: Inherited::new(now),
             earlier: EarlierLeaders::none(),
+            restarted: Restarted::default(),
             lost: LostRuns::default(),
             unanswered: Unanswered::default(),
             near: HashMap::new(),
@@ -179,6 +183,8 @@
                 .upstreams
                 .entry(live.at.clone())
                 .or_insert_with(|| Upstream::unlisted(&live.at, now, lease_end));
+            upstream.foreign_end = self.restarted.lease_end(&live.at);
+            upstream.holder_born = upstream.holder_born.max(live.born);
             // Find out at once which of its runs are still active.
             upstream.report_wanted = true;
             self.inherited.expect_report(&live.at);
@@ -326,6 +332,8 @@
         self.renew(now);
         self.drop_closed(now);
         self.note_earlier_leaders(now);
+        let restarts = self.restarted.take_rows(now, wall_ms);
+        self.out.rows.extend(restarts);
         for id in std::mem::take(&mut self.dirty) {
             self.store(&id, now, wall_ms);
         }
@@ -367,8 +375,10 @@
     }
 
     fn read_clock(&mut self, now: u64, at: &Name, clock: Option<Reading>) {
-        if let Some(upstream) = self.upstreams.get_mut(at) {
-            upstream.read_clock(now, clock, &self.timing);
+        if let Some(upstream) = self.upstreams.get_mut(at)
+            && upstream.read_clock(now, clock)
+        {
+            upstream.foreign_end = self.restarted.notice(at, now, &self.timing);
         }
     }
 
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -64,6 +64,11 @@
     pub(super) lease_end: u64,
     /// When every lease that earlier leaders requested has certainly expired, local clock.
     pub(super) inherited_end: u64,
+    /// When every lease by the clock of an earlier process has certainly expired, local clock.
+    pub(super) foreign_end: u64,
+    /// When the process started that holds the runs of an earlier leader, Unix milliseconds; 0 if
+    /// there are none, or if it is not known.
+    pub(super) holder_born: u64,
     /// How many renewals are under way.
     pub(super) holds: u32,
     /// When the last renewal was sent, local clock.
@@ -134,6 +139,8 @@
             stopping: HashMap::new(),
             lease_end: 0,
             inherited_end: 0,
+            foreign_end: 0,
+            holder_born: 0,
             holds: 0,
             renewed_at: 0,
             misses: 0,
@@ -183,31 +190,33 @@
     }
 
     /// Replaces the reading of its clock by a newer one. A clock that went back belongs to a new
-    /// process: it gets no new work until a report has shown which.
-    pub(super) fn read_clock(&mut self, now: u64, reading: Option<Reading>, timing: &Timing) {
+    /// process: it gets no new work until a report has shown which. Returns whether it went back.
+    pub(super) fn read_clock(&mut self, now: u64, reading: Option<Reading>) -> bool {
         let Some(reading) = reading.filter(|reading| reading.at >= self.clock.at) else {
-            return;
+            return false;
         };
         let passed = reading.at.saturating_sub(self.clock.at);
         let least = self.clock.clock_ms + passed - passed / CLOCK_SLOW_PART;
-        if reading.clock_ms + CLOCK_SLACK_MS < least {
+        let went_back = reading.clock_ms + CLOCK_SLACK_MS < least;
+        if went_back {
             log::info!(
                 "TG1520 upstream={} its clock went back reading={} expected={least} born={}",
                 self.listing.id,
                 reading.clock_ms,
                 self.listing.born
             );
-            self.extend_leases(now, timing);
             self.suspect(now);
         }
         self.clock = reading;
+        went_back
     }
 
-    /// Allows for leases that were requested by the clock of an earlier process: its present one
-    /// shortens them to the longest that it grants.
-    pub(super) fn extend_leases(&mut self, now: u64, timing: &Timing) {
-        let end = now + Timing::max_local_ms(timing.max_lease_ms);
-        self.lease_end = self.lease_end.max(end);
+    /// Returns whether another process than that of its entry held the runs of an earlier leader
+    /// when they were stored; known only before the first entry is applied.
+    pub(super) fn has_replaced_holder(&self, listing: &Listing) -> bool {
+        let unlisted = self.listing.born == 0;
+        let known = self.holder_born != 0 && listing.born != 0;
+        unlisted && known && self.holder_born != listing.born
     }
 
     /// Returns the end of a lease of at most `lease_ms` from now, on its clock, and records when that
--- a/tests/fleet/handover.rs
+++ b/tests/fleet/handover.rs
@@ -14,6 +14,7 @@
 use trefoilgauge::fleet::model::How;
 use trefoilgauge::fleet::model::Step;
 use trefoilgauge::fleet::model::TaskId;
+use trefoilgauge::fleet::row::restart_key;
 use trefoilgauge::fleet::timing::Timing;
 use trefoilgauge::prelude::*;
 
@@ -191,6 +192,61 @@
     }
 }
 
+/// Starts job 1 at an upstream that has just restarted, and lets an order that was meant for its
+/// earlier process reach it; discovery shows the restart to the leader if `noticed`. Then the leader
+/// and the upstream are lost.
+fn lose_restarted_upstream_and_leader(noticed: bool) -> World {
+    let mut world = World::new(1, 2);
+    world.pass(30_000);
+    let names: Vec<Name> = world.upstreams.keys().cloned().collect();
+    for at in &names {
+        world.restart(at);
+    }
+    if noticed {
+        world.list();
+        world.pass(500);
+    } else {
+        for fake in world.upstreams.values_mut() {
+            fake.stalled = true;
+        }
+    }
+    world.work_ms.insert(format!("{:016x}", 1), LONG_MS);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, LONG_MS)]);
+    let at = world.at_work(1).remove(0).2;
+    let now = world.now;
+    let fake = world.upstreams.get_mut(&at).unwrap();
+    fake.extend(now, 30_000);
+    fake.behaviour = Behaviour::Silent;
+    world.take_over();
+    world.tell(Event::PredecessorEnded);
+    world
+}
+
+/// Guards against a second run beside one whose lease was counted on the clock of an earlier process.
+#[test]
+fn the_next_leader_waits_for_leases_by_the_clock_of_an_earlier_process() {
+    for noticed in [true, false] {
+        let mut world = lose_restarted_upstream_and_leader(noticed);
+        // The world panics if a task runs twice.
+        world.pass(timing().max_lease_ms + 2_000);
+        assert_eq!(world.runs_begun(1), 2, "noticed: {noticed}");
+    }
+}
+
+/// Guards against waiting longer for ever, and for leaders that come much later.
+#[test]
+fn a_restart_is_forgotten_once_no_lease_by_the_earlier_clock_lasts() {
+    let mut world = World::new(1, 1);
+    let at = world.upstreams.keys().next().unwrap().clone();
+    world.restart(&at);
+    world.list();
+    world.pass(500);
+    let key = restart_key(&at);
+    assert!(!world.rows[&key].is_empty());
+    world.pass(timing().max_lease_ms + 2_000);
+    assert!(!world.rows.contains_key(&key));
+}
+
 /// Guards against a wait for all earlier leaders by each leader anew.
 #[test]
 fn a_leader_that_waited_for_the_earlier_ones_spares_the_next_one_that_wait() {
