fix(fleet): send no order that waited in the process for over a second

Cause: the time limit of a call is checked after its connection; when a process wakes, a connection that was made meanwhile is used at once.

Change: orders carry the time after which they must not be sent, 1 s after the leader handed them over, which is what the next leader counts on. The body of the request checks it when it is written.

--- a/src/fleet/host/dispatcher.rs
+++ b/src/fleet/host/dispatcher.rs
@@ -5,7 +5,9 @@
 use super::engine::Input;
 use crate::fleet::Effect;
 use crate::fleet::Event;
+use crate::fleet::clock::boot_ms;
 use crate::fleet::gauge;
+use crate::fleet::leases::TRANSIT_MS;
 use crate::fleet::model::RunId;
 use crate::fleet::model::StepId;
 use crate::fleet::ports::Advisor;
@@ -111,6 +113,7 @@
             id: id.clone(),
             addr,
             token: self.token,
+            expires_at: boot_ms() + TRANSIT_MS,
         }
     }
 
@@ -204,9 +207,10 @@
         let Some(machines) = self.machines.clone() else {
             return;
         };
-        let token = self.token;
+        let (token, expires_at) = (self.token, boot_ms() + TRANSIT_MS);
         self.spawn(async move {
-            let answer = machines.take_down(machine.clone(), wave, token).await;
+            let order = machines.take_down(machine.clone(), wave, token, expires_at);
+            let answer = order.await;
             Event::Downed {
                 machine,
                 wave,
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 
 /// The longest time from the decision on an order to its arrival, in milliseconds.
-pub(super) const TRANSIT_MS: u64 = 1_000;
+pub const TRANSIT_MS: u64 = 1_000;
 
 /// What a new leader knows of the earlier ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/fleet/ports.rs
+++ b/src/fleet/ports.rs
@@ -222,6 +222,9 @@
     pub addr: Name,
     /// The fencing token.
     pub token: u64,
+    /// When the order must not be sent any more, by [`boot_ms`](super::clock::boot_ms): the leader
+    /// may have been replaced since it decided on the order.
+    pub expires_at: u64,
 }
 
 /// An order to start a run.
@@ -267,8 +270,15 @@
     /// Lists all machines; none if the platform did not respond.
     fn list(&self) -> BoxFuture<'_, Option<Vec<Machine>>>;
 
-    /// Takes a machine down for maintenance, under a fencing token.
-    fn take_down(&self, machine: Name, wave: u64, token: u64) -> BoxFuture<'_, Downed>;
+    /// Takes a machine down for maintenance, under a fencing token. The order must not be sent after
+    /// `expires_at`, by [`boot_ms`](super::clock::boot_ms).
+    fn take_down(
+        &self,
+        machine: Name,
+        wave: u64,
+        token: u64,
+        expires_at: u64,
+    ) -> BoxFuture<'_, Downed>;
 }
 
 /// The interface for orders to upstreams.
--- a/src/modules/http.rs
+++ b/src/modules/http.rs
@@ -1,10 +1,11 @@
 //! A small HTTP client for JSON calls with a time limit.
 
+use super::outbound::Delivery;
+use super::outbound::Outbound;
 use crate::prelude::*;
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
@@ -31,6 +32,8 @@
 pub enum Error {
     /// no response within the time limit
     Late,
+    /// not sent: {0}
+    Unsent(String),
     /// connection failed or response incomplete: {0}
     Broken(String),
     /// status {0}: {1}
@@ -47,7 +50,7 @@
 /// A client that reuses idle connections; clones share them.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pooled: Arc<ArcSwap<Pooled<HttpConnector, Full<Bytes>>>>,
+    pooled: Arc<ArcSwap<Pooled<HttpConnector, Outbound>>>,
     call_ms: u64,
 }
 
@@ -66,6 +69,9 @@
     pub body: Bytes,
     /// The time limit for the whole call, in milliseconds.
     pub limit_ms: u64,
+    /// When it must not be sent any more, by [`boot_ms`](crate::fleet::clock::boot_ms); none if it
+    /// may be sent at any time. Applies to requests with a body.
+    pub expires_at: Option<u64>,
 }
 
 /// A complete response.
@@ -92,11 +98,21 @@
     ///
     /// # Errors
     ///
-    /// The response did not arrive within the time limit, or the connection failed.
+    /// The response did not arrive within the time limit, or the connection failed. With
+    /// [`Error::Unsent`], the server certainly has not received the whole request.
     pub async fn send(&self, outgoing: Outgoing<'_>) -> Result<Incoming> {
+        let delivery = Delivery::new(&outgoing.body, outgoing.expires_at);
+        let result = self.send_within(outgoing, delivery.clone()).await;
+        result.map_err(|error| match delivery.withdraw() {
+            true => Error::Unsent(error.to_string()),
+            false => error,
+        })
+    }
+
+    async fn send_within(&self, outgoing: Outgoing<'_>, delivery: Delivery) -> Result<Incoming> {
         let limit = Duration::from_millis(outgoing.limit_ms);
         let end = Instant::now() + limit;
-        let mut response = std::pin::pin!(self.round_trip(outgoing));
+        let mut response = std::pin::pin!(self.round_trip(outgoing, delivery));
         if let Ok(result) = timeout_at(end, &mut response).await {
             return result;
         }
@@ -172,6 +188,7 @@
             headers: &[],
             body,
             limit_ms: self.call_ms + extra_ms,
+            expires_at: None,
         };
         let incoming = self.send(outgoing).await?;
         if incoming.status != 200 {
@@ -182,7 +199,7 @@
         Ok(incoming.body)
     }
 
-    async fn round_trip(&self, outgoing: Outgoing<'_>) -> Result<Incoming> {
+    async fn round_trip(&self, outgoing: Outgoing<'_>, delivery: Delivery) -> Result<Incoming> {
         let mut request = Request::builder()
             .method(outgoing.method)
             .uri(format!("http://{}{}", outgoing.addr, outgoing.path))
@@ -190,7 +207,8 @@
         for (name, value) in outgoing.headers {
             request = request.header(*name, *value);
         }
-        let request = request.body(Full::new(outgoing.body)).map_err(broken)?;
+        let body = Outbound::new(outgoing.body, delivery);
+        let request = request.body(body).map_err(broken)?;
         let pooled = self.pooled.load_full();
         let answer = pooled.request(request).await.map_err(broken)?;
         let status = answer.status().as_u16();
@@ -200,7 +218,7 @@
     }
 }
 
-fn pooled() -> Pooled<HttpConnector, Full<Bytes>> {
+fn pooled() -> Pooled<HttpConnector, Outbound> {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
     connector.set_nodelay(true);
--- a/src/modules/mod.rs
+++ b/src/modules/mod.rs
@@ -14,6 +14,7 @@
 pub mod main;
 pub mod members;
 pub mod ops;
+mod outbound;
 pub mod peers;
 mod pool;
 pub mod process;
