fix(fleet): tell orders that reached no process from crashes under a task

Cause: an order that was never sent counted like one without a response, and an upstream without runs was chosen though nothing had been heard of it; both count as a crash under the task.

Change: the client tells whether a request was written; a first order that was not is declined. A single task that has lost a run starts only where the upstream has responded in the last 250 ms, and asks it for a report first.

One test listed no entry of a restarted upstream that it expected to be used; it lists it now, the check is the same.

--- a/src/fleet/crashes.rs
+++ b/src/fleet/crashes.rs
@@ -25,6 +25,10 @@
 /// Limit on the lost runs that are remembered until their upstream is heard of again.
 const MAX_UNPROVEN: usize = 4_096;
 
+/// The age of the last response up to which an upstream counts as alive when a task with losses is
+/// to start there, in milliseconds; longer where planning passes are further apart.
+const MAX_CONTACT_AGE_MS: u64 = 250;
+
 /// How it is known that an upstream has crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Evidence {
@@ -298,6 +302,22 @@
         }
     }
 
+    /// Returns whether an upstream has responded so lately that a start which gets no response means
+    /// a crash under it; if not, asks it for a report, and gives it no new work before that.
+    pub(super) fn is_known_alive(&mut self, now: u64, at: &Name) -> bool {
+        let max_age_ms = self.plan_gap.max(MAX_CONTACT_AGE_MS);
+        let Some(upstream) = self.upstreams.get_mut(at) else {
+            return false;
+        };
+        if upstream.clock.at + max_age_ms >= now {
+            return true;
+        }
+        upstream.suspect(now);
+        upstream.report_wanted = true;
+        self.touched.insert(at.clone());
+        false
+    }
+
     /// Forgets the losses of a long-running task that has been at work for long enough.
     pub(super) fn reset_losses(&mut self, now: u64, run: &RunId) {
         if !self.lost.has_job(&run.task.job)
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -110,6 +110,8 @@
     OtherLife,
     /// The upstream rejects the order as malformed.
     Rejected,
+    /// The order was not sent: no connection was made in time. It does not take effect.
+    Unsent,
     /// There was no response; the order may still take effect.
     Silent,
 }
--- a/src/fleet/gauge.rs
+++ b/src/fleet/gauge.rs
@@ -98,6 +98,7 @@
         Started::Unwell => "unwell",
         Started::OtherLife => "other_life",
         Started::Rejected => "rejected",
+        Started::Unsent => "unsent",
         Started::Silent => "silent",
     };
     counter!("fleet_starts_total", "answer" => answer).increment(1);
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -252,6 +252,10 @@
                 }
                 break;
             };
+            if suspect && !self.is_known_alive(now, &snapshot.candidates[candidate].name) {
+                snapshot.candidates[candidate].open = false;
+                continue;
+            }
             placed.push(snapshot.candidates[candidate].name.clone());
             self.start(now, snapshot, wait, &[(index, candidate)]);
         }
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -88,8 +88,11 @@
             run.number
         );
         match answer {
-            Started::Silent if tries < MAX_START_TRIES => self.send_start(now, at, run),
-            Started::Silent | Started::Barred => self.stop_gang(now, run),
+            Started::Unsent if first => self.start_declined(now, at, run, answer, first),
+            Started::Silent | Started::Unsent if tries < MAX_START_TRIES => {
+                self.send_start(now, at, run);
+            }
+            Started::Silent | Started::Unsent | Started::Barred => self.stop_gang(now, run),
             Started::OtherLife => {
                 if !self.was_sent_to_present(at, run) {
                     self.send_start(now, at, run);
@@ -107,24 +110,28 @@
                 }
                 self.stop_gang(now, run);
             }
-            _ => {
-                let pause_ms = if answer == Started::Full {
-                    DECLINE_BACKOFF_MS
-                } else {
-                    2 * DECLINE_BACKOFF_MS
-                };
-                if let Some(upstream) = self.upstreams.get_mut(at) {
-                    upstream.block_until(now + pause_ms);
-                    if answer == Started::Late {
-                        upstream.suspect(now);
-                    }
-                }
-                if first {
-                    self.settle(now, run, Proof::Declined);
-                }
-                self.stop_gang(now, run);
+            _ => self.start_declined(now, at, run, answer, first),
+        }
+    }
+
+    /// Gives the run up that an upstream does not start, and the upstream no new work for a while;
+    /// `first`: no other order to start the run was sent.
+    fn start_declined(&mut self, now: u64, at: &Name, run: &RunId, answer: Started, first: bool) {
+        let pause_ms = if answer == Started::Full {
+            DECLINE_BACKOFF_MS
+        } else {
+            2 * DECLINE_BACKOFF_MS
+        };
+        if let Some(upstream) = self.upstreams.get_mut(at) {
+            upstream.block_until(now + pause_ms);
+            if matches!(answer, Started::Late | Started::Unsent) {
+                upstream.suspect(now);
             }
         }
+        if first {
+            self.settle(now, run, Proof::Declined);
+        }
+        self.stop_gang(now, run);
     }
 
     fn mark_begun(&mut self, id: &Name) {
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -112,6 +112,10 @@
     next_check: u64,
     /// The earliest time of the next planning pass, local clock.
     next_plan: u64,
+    /// When the last planning pass began, local clock.
+    planned_at: u64,
+    /// The time between the last two planning passes, in milliseconds.
+    pub(super) plan_gap: u64,
     /// Unix time minus the local clock, in milliseconds.
     wall_offset: i64,
 }
@@ -166,6 +170,8 @@
             next_watch: 0,
             next_check: 0,
             next_plan: 0,
+            planned_at: now,
+            plan_gap: 0,
             wall_offset: 0,
         };
         scheduler.set_wall_clock(now, wall_ms);
@@ -325,6 +331,8 @@
         }
         if self.changed && now >= self.next_plan {
             self.changed = false;
+            self.plan_gap = now.saturating_sub(self.planned_at);
+            self.planned_at = now;
             let waiting = self.plan(now);
             self.next_plan = now + (waiting / STEPS_PER_PLAN_MS).min(MAX_PLAN_WAIT_MS);
             self.out.planned = waiting > 0;
--- a/tests/fleet/crashes.rs
+++ b/tests/fleet/crashes.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 use trefoilgauge::fleet::event::Operation;
 use trefoilgauge::fleet::event::Phase;
+use trefoilgauge::fleet::event::Reply;
 use trefoilgauge::fleet::model::Step;
 use trefoilgauge::fleet::model::TaskId;
 use trefoilgauge::fleet::row::StateRow;
@@ -66,6 +67,33 @@
     }
 }
 
+/// Guards against a job that is shown as failed though its task never started: its orders reached no
+/// process.
+#[test]
+fn an_upstream_that_is_down_when_a_task_is_ordered_there_counts_for_no_crash() {
+    let mut world = World::new(1, 2);
+    let busy = start_endless(&mut world, step(1, 8, 1_000));
+    let other = world.upstreams.keys().find(|at| **at != busy).cloned();
+    let other = other.unwrap();
+    world.upstreams.get_mut(&other).unwrap().behaviour = Behaviour::Down;
+    let reply = world.submit("batch", "key-a", 2, vec![step(1, 1, 1_000)]);
+    assert_eq!(reply, Some(Reply::Accepted));
+    for _ in 0..8 {
+        world.pass(2_000);
+        // Its next process is up for as long as it takes to be listed.
+        world.restart(&other);
+        world.list();
+        world.pass(10);
+        world.upstreams.get_mut(&other).unwrap().behaviour = Behaviour::Down;
+        world.pass(2_000);
+        assert_ne!(world.phase("batch", 2), Some(Phase::Failed));
+    }
+    world.restart(&other);
+    world.list();
+    world.pass(4_000);
+    assert_eq!(world.phase("batch", 2), Some(Phase::Completed));
+}
+
 #[test]
 fn a_task_whose_upstreams_come_back_under_another_identity_is_given_up() {
     for after_ms in [0, 400] {
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -28,6 +28,8 @@
     Flaky,
     /// Never responds; running work continues.
     Silent,
+    /// Accepts no connection, as its process is down.
+    Down,
     /// Responds that it is unwell, and does nothing.
     Unwell,
     /// Carries out each start, but the first response to it is lost.
--- a/tests/fleet/restarts.rs
+++ b/tests/fleet/restarts.rs
@@ -208,6 +208,10 @@
     world.submit("batch", "key-a", 1, vec![step(1, 1, 30_000)]);
     let first = world.begun[0].clone();
     world.upstreams.get_mut(&first.at).unwrap().behaviour = Behaviour::Silent;
+    // The entry of the other one shows its new process; that of the silent one stays as it was.
+    let other = all.iter().find(|at| **at != first.at).unwrap();
+    let listing = world.upstreams[other].listing.clone();
+    world.tell(Event::Listed(vec![listing]));
     // The world panics if both runs are at work at the same time.
     world.pass(16_000);
     assert_eq!(world.runs_begun(1), 2);
--- a/tests/fleet/world/carry.rs
+++ b/tests/fleet/world/carry.rs
@@ -138,7 +138,7 @@
                 };
                 fake.renewals += 1;
                 let failed = match fake.behaviour {
-                    Behaviour::Silent => Some(Held::Silent),
+                    Behaviour::Silent | Behaviour::Down => Some(Held::Silent),
                     Behaviour::Replaced => Some(Held::OtherLife),
                     _ => None,
                 };
@@ -172,6 +172,7 @@
         let barred = fake.barred.get(&run.task).is_some_and(|n| *n >= run.number);
         let answer = match fake.behaviour {
             Behaviour::Silent => Started::Silent,
+            Behaviour::Down => Started::Unsent,
             Behaviour::Unwell => Started::Unwell,
             Behaviour::Replaced => Started::OtherLife,
             _ if unadvised => Started::Unadvised,
@@ -263,7 +264,7 @@
         let lost = fake.lost_stops > 0;
         fake.lost_stops = fake.lost_stops.saturating_sub(1);
         let answer = match fake.behaviour {
-            Behaviour::Silent => OrderOutcome::Silent,
+            Behaviour::Silent | Behaviour::Down => OrderOutcome::Silent,
             _ if lost => OrderOutcome::Silent,
             Behaviour::Replaced => OrderOutcome::OtherLife,
             _ => {
