fix(fleet): begin no occurrence that the row of its job has no room for

Cause: the tasks of a job were limited at its submission only, and tasks that are done kept their checkpoints in the row.

Change: an occurrence that is due waits while the open ones fill the row (TG1213); what is done keeps no checkpoint.

--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -157,6 +157,7 @@
             wall_ms,
             closed: None,
             closure_stored: false,
+            crowded: false,
             turns: BTreeMap::new(),
             next_turn: 0,
             begun: false,
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -196,7 +196,7 @@
 const MAX_SPEC_BYTES: usize = 200_000;
 /// Limit on the tasks of a job that are begun together: their state, of about 30 bytes each, must
 /// fit into one record of the store.
-const MAX_JOB_TASKS: u64 = 8_192;
+pub(super) const MAX_JOB_TASKS: u64 = 8_192;
 /// The most steps of a job; all must fit into one row of the store.
 const MAX_STEPS: usize = 64;
 /// The most tasks of a step: four times the largest gang that must be supported (1024).
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -392,16 +392,27 @@
 
     /// Begins the occurrences that are due.
     fn begin_turns(&mut self, now: u64, wall_ms: u64) {
-        let due: Vec<Name> = self
-            .timed
-            .iter()
-            .filter(|id| {
-                self.jobs
-                    .get(*id)
-                    .is_some_and(|job| job.due_ms(job.next_turn) <= wall_ms)
-            })
-            .cloned()
-            .collect();
+        let mut due = Vec::new();
+        for id in &self.timed {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            if job.due_ms(job.next_turn) > wall_ms {
+                continue;
+            }
+            let full = !job.has_room_for_turn();
+            if full && !job.crowded {
+                log::warn!(
+                    "TG1213 job={id} turn={} is due and waits: the {} open occurrences fill the row of the job",
+                    job.next_turn,
+                    job.turns.len()
+                );
+            }
+            job.crowded = full;
+            if !full {
+                due.push(id.clone());
+            }
+        }
         for id in due {
             self.begin_due(&id, now, wall_ms);
         }
@@ -411,7 +422,10 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        while job.next_turn < job.times() && job.due_ms(job.next_turn) <= wall_ms {
+        while job.next_turn < job.times()
+            && job.due_ms(job.next_turn) <= wall_ms
+            && job.has_room_for_turn()
+        {
             let number = job.next_turn;
             let due_ms = job.due_ms(number);
             let late = wall_ms - due_ms;
--- a/src/fleet/stored.rs
+++ b/src/fleet/stored.rs
@@ -3,6 +3,7 @@
 use super::decide::crash::Losses;
 use super::event::Phase;
 use super::model::Advice;
+use super::model::MAX_JOB_TASKS;
 use super::model::Queue;
 use super::row::AdviceRow;
 use super::row::JobRow;
@@ -23,7 +24,28 @@
 /// wall clock has jumped.
 const MAX_AGE_MS: u64 = 600_000;
 
+/// The size of the stored form of a task that is not done, in bytes; with a checkpoint of 16.
+const OPEN_TASK_BYTES: usize = 30;
+/// The same of a task that is done.
+const DONE_TASK_BYTES: usize = 12;
+/// Limit on the estimated size of a job's [`StateRow`], in bytes: below the largest record of the
+/// store.
+const MAX_STATE_BYTES: usize = MAX_JOB_TASKS as usize * OPEN_TASK_BYTES;
+
 impl Job {
+    /// Returns whether the row of its state has room for another occurrence.
+    pub(super) fn has_room_for_turn(&self) -> bool {
+        let steps = self.turns.values().flat_map(|turn| &turn.steps);
+        let stored: usize = steps
+            .map(|step| {
+                let left = step.left as usize;
+                left * OPEN_TASK_BYTES + step.tasks.len().saturating_sub(left) * DONE_TASK_BYTES
+            })
+            .sum();
+        let tasks: usize = self.spec.steps.iter().map(|step| step.count as usize).sum();
+        self.turns.is_empty() || stored + tasks * OPEN_TASK_BYTES <= MAX_STATE_BYTES
+    }
+
     /// Returns the stored form of the part that never changes.
     pub(super) fn job_row(&self) -> JobRow {
         JobRow {
@@ -96,6 +118,7 @@
             wall_ms: fixed.wall_ms,
             closed: None,
             closure_stored: row.closed != 0,
+            crowded: false,
             turns: BTreeMap::new(),
             next_turn: row.next_turn,
             begun: row.begun,
@@ -181,7 +204,12 @@
         runs: task.runs,
         fails: task.fails,
         done: task.done,
-        saved: task.saved.clone(),
+        // What is done never resumes.
+        saved: if task.done {
+            String::new()
+        } else {
+            task.saved.clone()
+        },
         at,
         failed_run: task.last_failed(),
         crashes: task.losses.crashes,
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -260,6 +260,8 @@
     /// Whether its closure is stored; until then callers must not see it as closed, as a new leader
     /// might not know of it.
     pub(super) closure_stored: bool,
+    /// Whether an occurrence is due that the row of its state has no room for.
+    pub(super) crowded: bool,
     /// Occurrences that have begun and are not done, or that still have a live run.
     pub(super) turns: BTreeMap<u32, Turn>,
     /// The next occurrence to begin.
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -88,6 +88,8 @@
     ends: u64,
     /// The number of the last end that it has reported.
     reported: u64,
+    /// The checkpoint that its runs report.
+    pub saved: String,
     /// How many of the next orders to stop are lost.
     pub lost_stops: u32,
     /// How many renewals it received.
@@ -119,6 +121,7 @@
             origin: 0,
             ends: 0,
             reported: 0,
+            saved: String::new(),
             lost_stops: 0,
             renewals: 0,
             page: 500,
@@ -211,7 +214,7 @@
                 number,
             },
             how,
-            saved: String::new(),
+            saved: self.saved.clone(),
         });
     }
 
@@ -262,7 +265,7 @@
                 task: task.clone(),
                 number: run.number,
             },
-            saved: String::new(),
+            saved: self.saved.clone(),
             percent: percent(now, run),
             metric: if run.is_lasting() { self.tail_ms() } else { 0 },
         });
--- a/tests/fleet/timed.rs
+++ b/tests/fleet/timed.rs
@@ -3,10 +3,14 @@
 use super::world::WALL_MS;
 use super::world::World;
 use super::world::step;
+use prost::Message;
 use trefoilgauge::fleet::event::Operation;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::event::Reply;
 use trefoilgauge::fleet::model::Spec;
+use trefoilgauge::fleet::model::Step;
+use trefoilgauge::fleet::row::StateRow;
+use trefoilgauge::fleet::row::state_key;
 
 /// Three occurrences of `width` tasks each: the first one 2 s from now, then one each second.
 fn three_occurrences(world: &World, width: u32) -> Spec {
@@ -103,3 +107,76 @@
     world.pass(1_500);
     assert_eq!(world.phase("batch", 99), Some(Phase::Completed));
 }
+
+/// The largest record that the store accepts, in bytes.
+const RECORD_BYTES: usize = 262_144;
+
+/// Guards against a job whose row outgrows the records of the store, so that nothing of any job is
+/// stored any more.
+#[test]
+fn occurrences_that_stay_open_wait_rather_than_outgrow_the_row_of_their_job() {
+    let mut world = World::new(1, 8);
+    let many = Step {
+        cpu: 10,
+        memory: 10,
+        ..step(2_000, 0, 300)
+    };
+    let last = Step {
+        after: vec![0],
+        label: "missing".into(),
+        ..step(1, 0, 300)
+    };
+    let spec = Spec {
+        steps: vec![many, last],
+        first_ms: WALL_MS + world.now + 500,
+        interval_ms: 1_000,
+        times: 100,
+        ..Spec::default()
+    };
+    world.work_ms.insert(format!("{:016x}", 1), 300);
+    let reply = world.submit_spec("batch", "key-a", 1, spec);
+    assert_eq!(reply, Some(Reply::Accepted));
+    for _ in 0..30 {
+        world.pass(1_000);
+        let largest = world.rows.values().map(Vec::len).max().unwrap();
+        assert!(largest < RECORD_BYTES, "{largest} at {}", world.now);
+    }
+    let begun = world.begun.iter().map(|begun| begun.run.task.turn).max();
+    assert_eq!(begun, Some(7));
+    world.submit("batch", "key-a", 2, vec![step(1, 1, 300)]);
+    world.pass(1_000);
+    assert_eq!(world.phase("batch", 2), Some(Phase::Completed));
+    // An operator adds the label: the occurrences go on, and those that waited begin.
+    for fake in world.upstreams.values_mut() {
+        fake.listing.labels.push("missing".into());
+    }
+    world.list();
+    world.pass(10_000);
+    let begun = world.begun.iter().map(|begun| begun.run.task.turn).max();
+    assert!(begun > Some(20), "{begun:?}");
+}
+
+/// Guards against rows that grow by checkpoints which nothing resumes from.
+#[test]
+fn the_row_of_a_task_that_is_done_keeps_no_checkpoint() {
+    let mut world = World::new(1, 1);
+    for fake in world.upstreams.values_mut() {
+        fake.saved = "00000bb87a21d94b".to_owned();
+    }
+    let last = Step {
+        after: vec![0],
+        label: "missing".into(),
+        ..step(1, 1, 300)
+    };
+    let spec = Spec {
+        steps: vec![step(2, 1, 1_000), last],
+        ..Spec::default()
+    };
+    world.submit_spec("batch", "key-a", 1, spec);
+    world.pass(3_000);
+    let row = &world.rows[&state_key(&format!("{:016x}", 1))];
+    let state = StateRow::decode(&**row).unwrap();
+    let tasks = &state.turns[0].tasks;
+    let stored: Vec<(bool, &str)> = tasks.iter().map(|task| (task.done, &*task.saved)).collect();
+    assert_eq!(stored, [(true, ""), (true, ""), (false, "")]);
+}
