fix(fleet): raise the fencing token with each restart of an upstream

Cause: the token of orders was the epoch alone, so the next process could not tell what was meant for an earlier one.

Change: the token rises with each restart that the leader notices, within a range that its epoch reserves and that ends with the epoch, so that builds before this one fence and are fenced as before. An order carries the token of the process that was known when it was decided on; a refusal of an older one does not mean another leader.

The test now lets its upstreams keep the highest token, as the protocol says, and is otherwise unchanged. Tests that name epochs count in steps of a claim.

--- a/src/fleet/discovery.rs
+++ b/src/fleet/discovery.rs
@@ -134,6 +134,8 @@
             }
             if listing.born > before && before != 0 {
                 known.reset_process(mark);
+                self.lives += 1;
+                known.begin_life(self.lives, mark);
                 known.foreign_end = self.restarted.notice(&listing.id, now, &self.timing);
                 // The call for a report also tells the new process the fencing token.
                 known.suspect(now);
@@ -164,6 +166,8 @@
         let id = listing.id.clone();
         let mut upstream = Upstream::new(listing, now);
         upstream.foreign_end = self.restarted.lease_end(&id);
+        // Not lower than before: it may have been removed meanwhile.
+        upstream.begin_life(self.lives, self.mark);
         upstream.evacuated = evacuated;
         upstream.note_leaving();
         // Not all at once: a small VM that takes the lead has other calls to make.
--- a/src/fleet/effect.rs
+++ b/src/fleet/effect.rs
@@ -21,6 +21,8 @@
         at: Name,
         /// Its address.
         addr: Name,
+        /// After how many restarts of upstreams the leader decided on it.
+        life: u64,
         /// The run.
         run: RunId,
         /// The text of the job.
@@ -38,6 +40,8 @@
         at: Name,
         /// Its address.
         addr: Name,
+        /// After how many restarts of upstreams the leader decided on it.
+        life: u64,
         /// The run.
         run: RunId,
     },
@@ -47,6 +51,8 @@
         at: Name,
         /// Its address.
         addr: Name,
+        /// After how many restarts of upstreams the leader decided on it.
+        life: u64,
         /// The run.
         run: RunId,
         /// The share, in percent.
@@ -58,6 +64,8 @@
         at: Name,
         /// Its address.
         addr: Name,
+        /// After how many restarts of upstreams the leader decided on it.
+        life: u64,
         /// The end of the lease, on the upstream's clock, in milliseconds; 0 to leave it unchanged.
         until_ms: u64,
         /// Acknowledges the ends up to this number: they are stored.
--- a/src/fleet/election/area.rs
+++ b/src/fleet/election/area.rs
@@ -2,11 +2,12 @@
 
 use crate::fleet::ports::Rows;
 use crate::fleet::row::Row;
+use crate::fleet::token::EPOCH_STEP;
 use crate::prelude::*;
 use prost::Message;
 
 /// The epoch of the first claim.
-const FIRST_EPOCH: u64 = 1;
+const FIRST_EPOCH: u64 = EPOCH_STEP;
 const LEADER_KEY: &str = "leader";
 const CHALLENGE_KEY: &str = "doubt";
 const ANSWER_KEY: &str = "answer";
@@ -17,7 +18,7 @@
 /// The row that names the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LeaderRow {
-    /// The epoch, which is also the fencing token of rows and orders.
+    /// The epoch, which is also the fencing token of rows, and the highest one of orders.
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// The VM's name.
--- a/src/fleet/election/mod.rs
+++ b/src/fleet/election/mod.rs
@@ -18,6 +18,8 @@
 use super::ports::Rows;
 use super::ports::Terms;
 use super::row::Row;
+use super::token::EPOCH_STEP;
+
 use crate::prelude::*;
 pub use area::EpochCount;
 pub use area::LeadState;
@@ -348,7 +350,7 @@
             vacant: row.vacant,
         });
         let row = LeaderRow {
-            epoch: lead.epoch() + 1,
+            epoch: lead.epoch() + EPOCH_STEP,
             name: self.me.name.to_string(),
             addr: self.me.addr.clone(),
             boot: self.me.boot,
--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -359,6 +359,8 @@
         upstream.listed = false;
         // Its ends need no acknowledgement any more.
         upstream.reset_process(mark);
+        self.lives += 1;
+        upstream.begin_life(self.lives, mark);
         self.near.clear();
         self.settle_all(now, at, Proof::Replaced);
         // The next entry is that of another process, whenever it says that it started.
--- a/src/fleet/host/dispatcher.rs
+++ b/src/fleet/host/dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::fleet::ports::Store;
 use crate::fleet::ports::Target;
 use crate::fleet::ports::Upstreams;
+use crate::fleet::token::order_token;
 use crate::prelude::*;
 use std::future::Future;
 use tokio::sync::mpsc;
@@ -29,20 +30,20 @@
     advisor: Option<Arc<dyn Advisor>>,
     machines: Option<Arc<dyn Machines>>,
     tx: mpsc::Sender<Input>,
-    /// The fencing token of the orders.
-    token: u64,
+    /// The epoch, which is the fencing token of orders to machines.
+    epoch: u64,
 }
 
 impl Dispatcher {
-    /// Makes the dispatcher for the leader of epoch `token`, which receives the outcomes on `tx`.
-    pub(super) fn new(parts: &Parts, tx: mpsc::Sender<Input>, token: u64) -> Self {
+    /// Makes the dispatcher for the leader of `epoch`, which receives the outcomes on `tx`.
+    pub(super) fn new(parts: &Parts, tx: mpsc::Sender<Input>, epoch: u64) -> Self {
         Self {
             store: parts.store.clone(),
             upstreams: parts.upstreams.clone(),
             advisor: parts.advisor.clone(),
             machines: parts.machines.clone(),
             tx,
-            token,
+            epoch,
         }
     }
 
@@ -52,6 +53,7 @@
             Effect::Start {
                 at,
                 addr,
+                life,
                 run,
                 text,
                 until_ms,
@@ -65,18 +67,25 @@
                     saved,
                     ticket,
                 };
-                self.start(at, addr, order);
+                self.start(self.target(at, addr, life), order);
             }
-            Effect::Stop { at, addr, run } => self.stop(at, addr, run),
+            Effect::Stop {
+                at,
+                addr,
+                life,
+                run,
+            } => self.stop(self.target(at, addr, life), run),
             Effect::Pace {
                 at,
                 addr,
+                life,
                 run,
                 percent,
-            } => self.pace(at, addr, run, percent),
+            } => self.pace(self.target(at, addr, life), run, percent),
             Effect::Hold {
                 at,
                 addr,
+                life,
                 until_ms,
                 seen,
                 wait_ms,
@@ -87,7 +96,7 @@
                     seen,
                     wait_ms,
                 };
-                self.hold(at, addr, mark, order);
+                self.hold(self.target(at, addr, life), mark, order);
             }
             Effect::Advise {
                 step,
@@ -108,11 +117,11 @@
         }
     }
 
-    fn target(&self, id: &Name, addr: Name) -> Target {
+    fn target(&self, id: Name, addr: Name, life: u64) -> Target {
         Target {
-            id: id.clone(),
+            id,
             addr,
-            token: self.token,
+            token: order_token(self.epoch, life),
             expires_at: boot_ms() + TRANSIT_MS,
         }
     }
@@ -127,9 +136,9 @@
         });
     }
 
-    fn start(&self, at: Name, addr: Name, order: StartOrder) {
+    fn start(&self, target: Target, order: StartOrder) {
         let upstreams = self.upstreams.clone();
-        let target = self.target(&at, addr);
+        let at = target.id.clone();
         self.spawn(async move {
             let run = order.run.clone();
             let (answer, clock) = upstreams.start(target, order).await;
@@ -142,9 +151,9 @@
         });
     }
 
-    fn stop(&self, at: Name, addr: Name, run: RunId) {
+    fn stop(&self, target: Target, run: RunId) {
         let upstreams = self.upstreams.clone();
-        let target = self.target(&at, addr);
+        let at = target.id.clone();
         self.spawn(async move {
             let (answer, clock) = upstreams.stop(target, run.clone()).await;
             Event::Stopped {
@@ -156,18 +165,18 @@
         });
     }
 
-    fn pace(&self, at: Name, addr: Name, run: RunId, percent: u32) {
+    fn pace(&self, target: Target, run: RunId, percent: u32) {
         let upstreams = self.upstreams.clone();
-        let target = self.target(&at, addr);
+        let at = target.id.clone();
         self.spawn(async move {
             let answer = upstreams.pace(target, run.clone(), percent).await;
             Event::Paced { at, run, answer }
         });
     }
 
-    fn hold(&self, at: Name, addr: Name, mark: u64, order: HoldOrder) {
+    fn hold(&self, target: Target, mark: u64, order: HoldOrder) {
         let upstreams = self.upstreams.clone();
-        let target = self.target(&at, addr);
+        let at = target.id.clone();
         self.spawn(async move {
             let (answer, clock) = upstreams.hold(target, order).await;
             Event::Held {
@@ -207,7 +216,7 @@
         let Some(machines) = self.machines.clone() else {
             return;
         };
-        let (token, expires_at) = (self.token, boot_ms() + TRANSIT_MS);
+        let (token, expires_at) = (self.epoch, boot_ms() + TRANSIT_MS);
         self.spawn(async move {
             let order = machines.take_down(machine.clone(), wave, token, expires_at);
             let answer = order.await;
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -10,6 +10,7 @@
 use super::row::leaders_key;
 use super::scheduler::Scheduler;
 use super::timing::Timing;
+use super::token::EPOCH_STEP;
 use super::upstream::Upstream;
 use prost::Message;
 
@@ -54,7 +55,7 @@
     /// Returns the state at `now`, when the rows have been loaded; all leaders before the epoch
     /// `ended_before` had sent their last order when that was stored.
     pub(super) fn new(takeover: Takeover, ended_before: u64, now: u64) -> Self {
-        let only_last = ended_before + 1 >= takeover.epoch;
+        let only_last = ended_before + EPOCH_STEP >= takeover.epoch;
         let wait_ms = if takeover.ended && only_last {
             0
         } else {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -44,6 +44,7 @@
 mod stored;
 mod task;
 pub mod timing;
+pub mod token;
 mod unanswered;
 mod upkeep;
 mod upstream;
--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -109,6 +109,7 @@
         tails: &[(u64, u64)],
     ) {
         let mark = self.mark;
+        let life = self.life_of(at);
         let Some(live) = self.live_run(at, &run) else {
             return;
         };
@@ -129,12 +130,14 @@
         }
         live.pace = Some(percent);
         live.order_mark = mark;
+        live.order_life = life;
         let Some(upstream) = self.upstreams.get(at) else {
             return;
         };
         self.out.immediate.push(Effect::Pace {
             at: at.clone(),
             addr: upstream.listing.addr.clone(),
+            life,
             run,
             percent,
         });
@@ -144,7 +147,7 @@
     pub(super) fn paced(&mut self, now: u64, at: &Name, run: &RunId, answer: OrderOutcome) {
         match answer {
             OrderOutcome::Yes => {}
-            OrderOutcome::Fenced => self.resign(format!("upstream {at} has seen a higher token")),
+            OrderOutcome::Fenced => self.refused(at, run),
             OrderOutcome::OtherLife => {
                 if self.was_sent_to_present(at, run) {
                     self.process_gone(now, at);
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -74,7 +74,7 @@
                 self.mark_begun(&run.task.job);
                 return;
             }
-            Started::Fenced => {
+            Started::Fenced if self.was_sent_in_present_life(at, run) => {
                 self.resign(format!("upstream {at} has seen a higher token"));
                 return;
             }
@@ -93,6 +93,9 @@
                 self.send_start(now, at, run);
             }
             Started::Silent | Started::Unsent | Started::Barred => self.stop_gang(now, run),
+            // Its present process refuses what was meant for an earlier one.
+            Started::Fenced if tries < MAX_START_TRIES => self.send_start(now, at, run),
+            Started::Fenced => self.stop_gang(now, run),
             Started::OtherLife => {
                 if !self.was_sent_to_present(at, run) {
                     self.send_start(now, at, run);
@@ -180,10 +183,35 @@
         sent.is_some() && sent >= known
     }
 
+    /// Returns after how many restarts the present process of an upstream became known.
+    pub(super) fn life_of(&self, at: &Name) -> u64 {
+        self.upstreams.get(at).map_or(0, |upstream| upstream.life)
+    }
+
+    /// Returns whether the last order about a run carries the token of the present process of its
+    /// upstream. If not, that process refuses it although no other VM leads.
+    fn was_sent_in_present_life(&mut self, at: &Name, run: &RunId) -> bool {
+        let life = self.life_of(at);
+        self.live_run(at, run)
+            .is_some_and(|live| live.order_life == life)
+    }
+
+    /// Handles that an upstream refuses an order to stop or to pace a run, as it has seen a higher
+    /// token.
+    pub(super) fn refused(&mut self, at: &Name, run: &RunId) {
+        if self.was_sent_in_present_life(at, run) {
+            self.resign(format!("upstream {at} has seen a higher token"));
+        } else {
+            self.request_report(at);
+        }
+    }
+
     pub(super) fn send_stop(&mut self, at: &Name, run: RunId) {
         let mark = self.mark;
+        let life = self.life_of(at);
         if let Some(live) = self.live_run(at, &run) {
             live.order_mark = mark;
+            live.order_life = life;
             live.stops += 1;
         }
         let Some(upstream) = self.upstreams.get(at) else {
@@ -195,6 +223,7 @@
         self.out.immediate.push(Effect::Stop {
             at: at.clone(),
             addr: upstream.listing.addr.clone(),
+            life,
             run,
         });
     }
@@ -202,7 +231,7 @@
     /// Handles the response to an order to stop.
     pub(super) fn stopped(&mut self, now: u64, at: &Name, run: &RunId, answer: OrderOutcome) {
         match answer {
-            OrderOutcome::Fenced => self.resign(format!("upstream {at} has seen a higher token")),
+            OrderOutcome::Fenced => self.refused(at, run),
             OrderOutcome::OtherLife => {
                 if self.was_sent_to_present(at, run) {
                     self.process_gone(now, at);
@@ -292,6 +321,8 @@
                     upstream.misses
                 );
                 upstream.reset_process(present);
+                self.lives += 1;
+                upstream.begin_life(self.lives, present);
                 upstream.foreign_end = self.restarted.notice(at, now, &self.timing);
                 self.unanswered.replaced(at);
                 self.next_watch = now;
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -92,6 +92,8 @@
     pub(super) inherited: Inherited,
     /// The earlier leaders, whose leases may last.
     pub(super) earlier: EarlierLeaders,
+    /// How many restarts of upstreams this leader has noticed.
+    pub(super) lives: u64,
     /// Upstreams that may hold a lease by the clock of an earlier process.
     pub(super) restarted: Restarted,
     /// Runs that were lost with their upstreams.
@@ -160,6 +162,7 @@
             touched: BTreeSet::new(),
             inherited: Inherited::new(now),
             earlier: EarlierLeaders::none(),
+            lives: 0,
             restarted: Restarted::default(),
             lost: LostRuns::default(),
             unanswered: Unanswered::default(),
@@ -386,6 +389,8 @@
         if let Some(upstream) = self.upstreams.get_mut(at)
             && upstream.read_clock(now, clock)
         {
+            self.lives += 1;
+            upstream.begin_life(self.lives, self.mark);
             upstream.foreign_end = self.restarted.notice(at, now, &self.timing);
         }
     }
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -82,6 +82,7 @@
                     since: now,
                     answer_mark: None,
                     order_mark: 0,
+                    order_life: 0,
                     tries: 0,
                     stops: 0,
                     stop_at: now,
@@ -128,6 +129,7 @@
     /// Sends the order to start a run, or sends it again.
     pub(super) fn send_start(&mut self, now: u64, at: &Name, run: &RunId) {
         let lease_ms = self.timing.lease_ms();
+        let life = self.life_of(at);
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
             return;
         };
@@ -145,6 +147,7 @@
         };
         live.tries += 1;
         live.order_mark = self.mark;
+        live.order_life = life;
         let Some(upstream) = self.upstreams.get_mut(at) else {
             return;
         };
@@ -153,6 +156,7 @@
         self.out.after_store.push(Effect::Start {
             at: at.clone(),
             addr: upstream.listing.addr.clone(),
+            life,
             run: run.clone(),
             text,
             until_ms,
--- a/src/fleet/stored.rs
+++ b/src/fleet/stored.rs
@@ -231,6 +231,7 @@
         since: now,
         answer_mark: Some(0),
         order_mark: 0,
+        order_life: 0,
         silent: true,
         tries: 1,
         stops: 0,
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -57,6 +57,8 @@
     pub(super) answer_mark: Option<u64>,
     /// The mark of the last order about it that was sent.
     pub(super) order_mark: u64,
+    /// The life of the upstream, as the leader knew it, for which that order was meant.
+    pub(super) order_life: u64,
     /// How many orders to start it were sent.
     pub(super) tries: u32,
     /// How many orders to stop it were sent.
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -69,6 +69,11 @@
     /// When the process started that holds the runs of an earlier leader, Unix milliseconds; 0 if
     /// there are none, or if it is not known.
     pub(super) holder_born: u64,
+    /// After how many restarts of upstreams its present process became known to this leader; part of
+    /// the fencing token of its orders.
+    pub(super) life: u64,
+    /// The mark at which that changed last.
+    pub(super) life_mark: u64,
     /// How many renewals are under way.
     pub(super) holds: u32,
     /// When the last renewal was sent, local clock.
@@ -141,6 +146,8 @@
             inherited_end: 0,
             foreign_end: 0,
             holder_born: 0,
+            life: 0,
+            life_mark: 0,
             holds: 0,
             renewed_at: 0,
             misses: 0,
@@ -378,14 +385,22 @@
         }
     }
 
-    /// Returns whether the response to the renewal that carried `mark` is about an earlier process.
+    /// Returns whether the response to the renewal that carried `mark` is about an earlier process,
+    /// or is that of the present one to a renewal that was meant for an earlier one.
     pub(super) fn is_outdated(&self, mark: u64, answer: &Held) -> bool {
-        mark < self.process_mark
-            && match answer {
-                Held::Report(report) => report.born != 0 && report.born != self.listing.born,
-                Held::OtherLife | Held::Silent => true,
-                Held::Fenced => false,
+        match answer {
+            Held::Report(report) => {
+                mark < self.process_mark && report.born != 0 && report.born != self.listing.born
             }
+            Held::OtherLife | Held::Silent => mark < self.process_mark,
+            Held::Fenced => mark <= self.life_mark,
+        }
+    }
+
+    /// Raises the token of its orders: another process of it is known, at `mark`.
+    pub(super) fn begin_life(&mut self, life: u64, mark: u64) {
+        self.life = life;
+        self.life_mark = mark;
     }
 
     /// Resets what was counted for an earlier process of the upstream; `mark` is the present one.
--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -128,6 +128,7 @@
                     let effect = Effect::Hold {
                         mark: self.mark,
                         addr: upstream.listing.addr.clone(),
+                        life: upstream.life,
                         seen: upstream.acknowledging,
                         at,
                         until_ms,
--- a/tests/election/area.rs
+++ b/tests/election/area.rs
@@ -13,6 +13,7 @@
 use trefoilgauge::fleet::election::Predecessor;
 use trefoilgauge::fleet::ports::Rows;
 use trefoilgauge::fleet::row::Row;
+use trefoilgauge::fleet::token::EPOCH_STEP;
 
 fn row(key: &str, value: Vec<u8>) -> Row {
     Row {
@@ -148,9 +149,9 @@
         vacant,
     };
     let cases = [
-        (1, None, true),
+        (EPOCH_STEP, None, true),
         // An earlier build does not name the leader before.
-        (2, None, false),
+        (2 * EPOCH_STEP, None, false),
         (2, Some(before("vm-1", "10.0.0.1:1", 6, false)), true),
         (2, Some(before("vm-1", "10.0.0.1:1", 7, false)), false),
         (2, Some(before("vm-1", "10.0.0.1:1", 0, false)), false),
--- a/tests/election/world.rs
+++ b/tests/election/world.rs
@@ -17,6 +17,7 @@
 use trefoilgauge::fleet::ports::Rows;
 use trefoilgauge::fleet::ports::Terms;
 use trefoilgauge::fleet::row::Row;
+use trefoilgauge::fleet::token::EPOCH_STEP;
 use trefoilgauge::prelude::*;
 
 /// The latency of a message between two VMs, in milliseconds.
@@ -209,7 +210,7 @@
 
     /// Returns the number of claims that were stored.
     pub(crate) fn claims(&self) -> u64 {
-        self.lead_state().epoch()
+        self.lead_state().epoch() / EPOCH_STEP
     }
 
     pub(crate) fn run(&mut self, ms: u64) {
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -64,6 +64,8 @@
     pub ended: Vec<Ended>,
     pub seen: u64,
     pub lease: u64,
+    /// The highest fencing token that it has seen.
+    pub token: u64,
     pub barred: HashMap<TaskId, u32>,
     /// The marks of the renewals in progress, each with the time until which it waits.
     pub holds: Vec<(u64, u64)>,
@@ -108,6 +110,7 @@
             ended: Vec::new(),
             seen: 0,
             lease: 0,
+            token: 0,
             barred: HashMap::new(),
             holds: Vec::new(),
             base_ms: 0,
@@ -157,6 +160,13 @@
         self.lease = self.lease.max(until_ms.min(most));
     }
 
+    /// Returns whether it carries out orders with this fencing token.
+    pub(crate) fn accepts(&mut self, token: u64) -> bool {
+        let accepts = token >= self.token;
+        self.token = self.token.max(token);
+        accepts
+    }
+
     /// Ends its process; a new one begins `away_ms` later.
     pub(crate) fn crash(&mut self, now: u64, away_ms: u64) {
         self.behaviour = Behaviour::Silent;
--- a/tests/fleet/stale.rs
+++ b/tests/fleet/stale.rs
@@ -26,6 +26,7 @@
 use trefoilgauge::fleet::model::RunId;
 use trefoilgauge::fleet::model::TaskId;
 use trefoilgauge::fleet::row::Row;
+use trefoilgauge::fleet::token::order_token;
 use trefoilgauge::prelude::*;
 
 /// A world of one upstream.
@@ -420,9 +421,12 @@
         });
         world.pass(wait);
         let now = world.now;
-        // The new process carries out a renewal of the earlier one.
+        // The new process receives a renewal that was sent to the earlier one, before any restart.
+        let token = order_token(world.epoch, 0);
         let fake = world.upstreams.get_mut(&at).unwrap();
-        fake.lease = fake.clock(now) + timing().max_lease_ms;
+        if fake.accepts(token) {
+            fake.lease = fake.clock(now) + timing().max_lease_ms;
+        }
         cut_off(&mut world, &at, there);
         assert_eq!(world.runs_begun(here), 2);
     }
@@ -528,3 +532,21 @@
     cut_off(&mut world, &at, there);
     assert_eq!(world.runs_begun(here), 2);
 }
+
+/// Guards against a leader that resigns, as the next process of an upstream refuses an order that was
+/// meant for an earlier one.
+#[test]
+fn an_order_for_an_earlier_process_that_is_refused_is_sent_again_to_the_present_one() {
+    let (mut world, at) = world();
+    world.store_down = true;
+    world.work_ms.insert(task(1).job.to_string(), 3_000);
+    world.submit("batch", "key-a", 1, vec![step(1, 1, 3_000)]);
+    world.restart(&at);
+    world.list();
+    world.pass(300);
+    // The start that was decided before the restart is sent now.
+    world.store_up();
+    world.pass(4_000);
+    assert_eq!(world.runs_begun(1), 1);
+    assert_eq!(world.phase("batch", 1), Some(Phase::Completed));
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -33,6 +33,7 @@
 use trefoilgauge::fleet::model::Workspace;
 use trefoilgauge::fleet::row::Row;
 use trefoilgauge::fleet::timing::Timing;
+use trefoilgauge::fleet::token::EPOCH_STEP;
 use trefoilgauge::prelude::*;
 
 /// The time of day at time 0 of a world, Unix milliseconds.
@@ -89,13 +90,13 @@
 
 /// The first leader.
 pub(crate) const FIRST: Takeover = Takeover {
-    epoch: 1,
+    epoch: EPOCH_STEP,
     order_ms: 7_000,
     ended: true,
 };
 /// A leader whose predecessor may still send orders.
 pub(crate) const LATER: Takeover = Takeover {
-    epoch: 2,
+    epoch: 2 * EPOCH_STEP,
     order_ms: 7_000,
     ended: false,
 };
@@ -282,7 +283,7 @@
         for fake in self.upstreams.values_mut() {
             fake.holds.clear();
         }
-        self.epoch += 1;
+        self.epoch += EPOCH_STEP;
         let takeover = Takeover {
             epoch: self.epoch,
             ..LATER
--- a/tests/fleet/world/carry.rs
+++ b/tests/fleet/world/carry.rs
@@ -16,6 +16,7 @@
 use trefoilgauge::fleet::event::Started;
 use trefoilgauge::fleet::model::RunId;
 use trefoilgauge::fleet::row::Row;
+use trefoilgauge::fleet::token::order_token;
 use trefoilgauge::prelude::*;
 
 impl World {
@@ -103,12 +104,19 @@
             Effect::Start { at, run, .. } if !self.scheduler.may_send_start(now, &at, &run) => {}
             Effect::Start {
                 at,
+                life,
                 run,
                 until_ms,
                 ticket,
                 ..
-            } => self.start(&at, run, until_ms, &ticket),
-            Effect::Stop { at, run, .. } => self.stop(&at, run),
+            } => {
+                let fenced = !self.accepts(&at, life);
+                self.start(&at, run, until_ms, &ticket, fenced);
+            }
+            Effect::Stop { at, life, run, .. } => {
+                let fenced = !self.accepts(&at, life);
+                self.stop(&at, run, fenced);
+            }
             Effect::Pace {
                 at, run, percent, ..
             } => {
@@ -127,12 +135,14 @@
             }
             Effect::Hold {
                 at,
+                life,
                 until_ms,
                 seen,
                 wait_ms,
                 mark,
                 ..
             } => {
+                let fenced = self.upstreams.contains_key(&at) && !self.accepts(&at, life);
                 let Some(fake) = self.upstreams.get_mut(&at) else {
                     return;
                 };
@@ -140,6 +150,7 @@
                 let failed = match fake.behaviour {
                     Behaviour::Silent | Behaviour::Down => Some(Held::Silent),
                     Behaviour::Replaced => Some(Held::OtherLife),
+                    _ if fenced => Some(Held::Fenced),
                     _ => None,
                 };
                 if let Some(answer) = failed {
@@ -159,7 +170,19 @@
         }
     }
 
-    fn start(&mut self, at: &Name, run: RunId, until_ms: u64, ticket: &str) {
+    /// Returns whether the process that is reached at an upstream carries out orders of the leader for
+    /// this life of it.
+    fn accepts(&mut self, at: &Name, life: u64) -> bool {
+        let token = order_token(self.epoch, life);
+        let fake = self.upstreams.get_mut(at).unwrap();
+        let reached = !matches!(
+            fake.behaviour,
+            Behaviour::Silent | Behaviour::Down | Behaviour::Replaced
+        );
+        !reached || fake.accepts(token)
+    }
+
+    fn start(&mut self, at: &Name, run: RunId, until_ms: u64, ticket: &str, fenced: bool) {
         let now = self.now;
         // Only jobs of the queue `guarded` need advice.
         let needs_advice = self.guarded.contains(&run.task.job);
@@ -175,6 +198,7 @@
             Behaviour::Down => Started::Unsent,
             Behaviour::Unwell => Started::Unwell,
             Behaviour::Replaced => Started::OtherLife,
+            _ if fenced => Started::Fenced,
             _ if unadvised => Started::Unadvised,
             _ if barred => Started::Barred,
             behaviour => {
@@ -258,7 +282,7 @@
         }
     }
 
-    fn stop(&mut self, at: &Name, run: RunId) {
+    fn stop(&mut self, at: &Name, run: RunId, fenced: bool) {
         let now = self.now;
         let fake = self.upstreams.get_mut(at).unwrap();
         let lost = fake.lost_stops > 0;
@@ -267,6 +291,7 @@
             Behaviour::Silent | Behaviour::Down => OrderOutcome::Silent,
             _ if lost => OrderOutcome::Silent,
             Behaviour::Replaced => OrderOutcome::OtherLife,
+            _ if fenced => OrderOutcome::Fenced,
             _ => {
                 fake.stop(now, &run);
                 OrderOutcome::Yes
--- a/tests/fleet_hazards/calamity.rs
+++ b/tests/fleet_hazards/calamity.rs
@@ -14,6 +14,7 @@
 use trefoilgauge::fleet::event::Operation;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::event::Reply;
+use trefoilgauge::fleet::token::EPOCH_STEP;
 
 /// When the first hazard begins, in milliseconds.
 const FIRST_MS: u64 = 2_000;
@@ -162,7 +163,7 @@
     pub(crate) fn back(&mut self, killed: usize) {
         let now = self.now;
         let back = self.leaders[killed].back_at.is_some_and(|at| at <= now);
-        let next = self.leaders[killed].epoch + 1;
+        let next = self.leaders[killed].epoch + EPOCH_STEP;
         let next = self.leaders.iter_mut().find(|leader| leader.epoch == next);
         if let Some(next) = next.filter(|next| back && next.life == Life::Running) {
             let local = now + next.offset;
--- a/tests/fleet_hazards/engine.rs
+++ b/tests/fleet_hazards/engine.rs
@@ -198,6 +198,7 @@
             Effect::Start {
                 at,
                 addr,
+                life,
                 run,
                 text,
                 until_ms,
@@ -210,12 +211,18 @@
                     until_ms,
                     saved,
                 };
-                self.send(leader, at, addr, kind);
+                self.send(leader, (at, addr, life), kind);
             }
-            Effect::Stop { at, addr, run } => self.send(leader, at, addr, Kind::Stop { run }),
+            Effect::Stop {
+                at,
+                addr,
+                life,
+                run,
+            } => self.send(leader, (at, addr, life), Kind::Stop { run }),
             Effect::Hold {
                 at,
                 addr,
+                life,
                 until_ms,
                 seen,
                 wait_ms,
@@ -227,7 +234,7 @@
                     wait_ms,
                     mark,
                 };
-                self.send(leader, at, addr, kind);
+                self.send(leader, (at, addr, life), kind);
             }
             other => panic!("unexpected effect {other:?}"),
         }
--- a/tests/fleet_hazards/store.rs
+++ b/tests/fleet_hazards/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use trefoilgauge::fleet::model::Listing;
 use trefoilgauge::fleet::row::Row;
+use trefoilgauge::fleet::token::EPOCH_STEP;
 use trefoilgauge::prelude::*;
 
 /// A change in discovery.
@@ -34,7 +35,7 @@
 
     /// Claims the next epoch.
     pub(crate) fn claim(&mut self) -> u64 {
-        self.epoch += 1;
+        self.epoch += EPOCH_STEP;
         self.sequence = 0;
         self.epoch
     }
--- a/tests/fleet_hazards/transport.rs
+++ b/tests/fleet_hazards/transport.rs
@@ -15,18 +15,22 @@
 use trefoilgauge::fleet::event::Held;
 use trefoilgauge::fleet::event::OrderOutcome;
 use trefoilgauge::fleet::model::RunId;
+use trefoilgauge::fleet::token::EPOCH_STEP;
+use trefoilgauge::fleet::token::order_token;
 use trefoilgauge::prelude::*;
 
 /// How late an order may be carried out, in milliseconds.
 const LATE_MS: Range<u64> = 2_000..12_000;
 
 impl World {
-    /// Sends an order.
-    pub(crate) fn send(&mut self, leader: usize, at: Name, addr: Name, kind: Kind) {
+    /// Sends an order to an upstream at its address, in this life of it.
+    pub(crate) fn send(&mut self, leader: usize, to: (Name, Name, u64), kind: Kind) {
+        let (at, addr, life) = to;
         let now = self.now;
         self.last_order += 1;
-        let token = self.leaders[leader].epoch;
-        let key = hash((token, &at, kind.run(), now));
+        let epoch = self.leaders[leader].epoch;
+        let token = order_token(epoch, life);
+        let key = hash((epoch / EPOCH_STEP, &at, kind.run(), now));
         let mut order = Order {
             id: self.last_order,
             key,
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -55,6 +55,7 @@
 use trefoilgauge::fleet::ports::Upstreams;
 use trefoilgauge::fleet::row::Row;
 use trefoilgauge::fleet::timing::Timing;
+use trefoilgauge::fleet::token::EPOCH_STEP;
 use trefoilgauge::prelude::*;
 
 /// A store that declines every call, or responds to none if it is `silent`.
@@ -431,11 +432,11 @@
     // With this append the store confirms the lead right before it starts to decline.
     let before = follower.call(call(1, submission()), 3_000).await;
     assert_eq!(before, Reply::Accepted);
-    store.declined.store(1, Ordering::Relaxed);
+    store.declined.store(EPOCH_STEP, Ordering::Relaxed);
     let start = Instant::now();
     let reply = follower.call(call(2, submission()), 3_000).await;
     assert_eq!(reply, Reply::Accepted);
-    assert_eq!(store.lead().epoch(), 2);
+    assert_eq!(store.lead().epoch(), 2 * EPOCH_STEP);
     let took = start.elapsed();
     assert!(took < Duration::from_millis(1_250), "{took:?}");
 }
@@ -454,7 +455,7 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
         assert!(vms.iter().all(Host::is_ready));
     }
-    assert_eq!(store.lead().epoch(), 1);
+    assert_eq!(store.lead().epoch(), EPOCH_STEP);
     assert_eq!(store.lead().end, 1);
 }
 
@@ -518,7 +519,7 @@
         silent.store(false, Ordering::Relaxed);
     };
     let (reply, ()) = tokio::join!(submits, fails);
-    assert_eq!(store.lead().epoch(), 2);
+    assert_eq!(store.lead().epoch(), 2 * EPOCH_STEP);
     let rows = store.rows(Area::Jobs);
     (reply, rows.iter().any(|row| row.key.starts_with("j.")))
 }
@@ -579,7 +580,7 @@
     assert_eq!(vms[0].call(what.clone(), 3_000).await, Reply::Accepted);
     *store.config.lock().unwrap() = Some(protected_config(false));
     drop(lost);
-    wait_until(|| store.lead().epoch() == 2 && vms[0].is_ready()).await;
+    wait_until(|| store.lead().epoch() == 2 * EPOCH_STEP && vms[0].is_ready()).await;
     assert_eq!(vms[0].call(what, 3_000).await, Reply::BadKey);
 }
 
@@ -640,7 +641,7 @@
     let reply = vms[0].call(call(1, submission()), 2_000).await;
     assert_eq!(reply, Reply::Accepted);
     assert!(vms.iter().all(Host::is_ready));
-    assert_eq!(store.lead().epoch(), 1);
+    assert_eq!(store.lead().epoch(), EPOCH_STEP);
 }
 
 /// Submits a job to a VM that is suspended before it hears that the job is stored; returns the starts
--- a/tests/fleet_mandate.rs
+++ b/tests/fleet_mandate.rs
@@ -23,6 +23,7 @@
     let start = Effect::Start {
         at: "upstream".into(),
         addr: "10.0.0.1:80".into(),
+        life: 0,
         run: run(),
         text: "text".into(),
         until_ms: 0,
@@ -32,6 +33,7 @@
     let stop = Effect::Stop {
         at: "upstream".into(),
         addr: "10.0.0.1:80".into(),
+        life: 0,
         run: run(),
     };
     let down = Effect::TakeDown {
--- a/tests/fleet_wire/main.rs
+++ b/tests/fleet_wire/main.rs
@@ -46,6 +46,7 @@
 use trefoilgauge::fleet::row::StateRow;
 use trefoilgauge::fleet::row::TaskRow;
 use trefoilgauge::fleet::row::WaveRow;
+use trefoilgauge::fleet::token::EPOCH_STEP;
 use trefoilgauge::prelude::*;
 
 type Frames = Framed<TcpStream, LengthDelimitedCodec>;
@@ -239,7 +240,7 @@
     store.put(Area::Lead, "leader", bytes(LEADER_ROW));
     let vm = spawn("vm-2", &store, free_addr()).await;
     wait_until(|| vm.is_ready()).await;
-    assert_eq!(store.lead().epoch(), 8);
+    assert_eq!(store.lead().epoch(), 7 + EPOCH_STEP);
     for (id, (_, phase)) in (1..).zip(states) {
         let reply = vm.call(call(id, Operation::State), 1_000).await;
         assert_eq!(reply, Reply::State(phase), "job {id}");
@@ -276,7 +277,7 @@
     let leader = earlier::LeaderRow::decode(&*leader).unwrap();
     assert_eq!(
         (leader.epoch, &*leader.name, leader.vacant),
-        (1, "vm-2", false)
+        (EPOCH_STEP, "vm-2", false)
     );
 }
 
