fix(fleet): note in each pass that a leader runs, also without work

What callers could see: a job that waits for the store once more, about 10 ms, before its tasks start, if nothing was sent for 250 ms before.

Change: it is noted on each input and each tick. A restart of an upstream whose name is too long for a row's key is not stored.

--- a/src/fleet/effect.rs
+++ b/src/fleet/effect.rs
@@ -21,7 +21,8 @@
         at: Name,
         /// Its address.
         addr: Name,
-        /// After how many restarts of upstreams the leader decided on it.
+        /// The life of the upstream that it is meant for, as the leader counts them; part of its
+        /// fencing token.
         life: u64,
         /// The run.
         run: RunId,
@@ -40,7 +41,8 @@
         at: Name,
         /// Its address.
         addr: Name,
-        /// After how many restarts of upstreams the leader decided on it.
+        /// The life of the upstream that it is meant for, as the leader counts them; part of its
+        /// fencing token.
         life: u64,
         /// The run.
         run: RunId,
@@ -51,7 +53,8 @@
         at: Name,
         /// Its address.
         addr: Name,
-        /// After how many restarts of upstreams the leader decided on it.
+        /// The life of the upstream that it is meant for, as the leader counts them; part of its
+        /// fencing token.
         life: u64,
         /// The run.
         run: RunId,
@@ -64,7 +67,8 @@
         at: Name,
         /// Its address.
         addr: Name,
-        /// After how many restarts of upstreams the leader decided on it.
+        /// The life of the upstream that it is meant for, as the leader counts them; part of its
+        /// fencing token.
         life: u64,
         /// The end of the lease, on the upstream's clock, in milliseconds; 0 to leave it unchanged.
         until_ms: u64,
--- a/src/fleet/election/mod.rs
+++ b/src/fleet/election/mod.rs
@@ -19,7 +19,6 @@
 use super::ports::Terms;
 use super::row::Row;
 use super::token::EPOCH_STEP;
-
 use crate::prelude::*;
 pub use area::EpochCount;
 pub use area::LeadState;
--- a/src/fleet/host/engine.rs
+++ b/src/fleet/host/engine.rs
@@ -228,6 +228,7 @@
         loop {
             tokio::select! {
                 input = self.rx.recv() => {
+                    self.note_awake();
                     let stalled = append.as_ref().is_some_and(|a| boot_ms() > a.since + STALLED_MS);
                     let mut next = input;
                     for _ in 0..MAX_BURST {
@@ -256,9 +257,11 @@
                     }
                 }
                 _ = tick.tick() => {
+                    self.note_awake();
                     if append.as_ref().is_some_and(|a| boot_ms() > a.since + STALLED_MS) {
                         self.withdraw();
                     }
+                    // Resigns if the store has not confirmed the lead for too long.
                     if let Some(order) = self.unconfirmed.pop() {
                         self.execute(order);
                     }
--- a/src/fleet/restarted.rs
+++ b/src/fleet/restarted.rs
@@ -15,6 +15,9 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+/// The longest key of a row, in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
 /// The upstreams that may hold a lease by the clock of an earlier process.
 #[derive(Debug, Default)]
 pub(super) struct Restarted {
@@ -33,8 +36,10 @@
     /// Adds an upstream whose restart is noticed at `now`; returns when such a lease has expired.
     pub(super) fn notice(&mut self, at: &Name, now: u64, timing: &Timing) -> u64 {
         let end = expiry(now, timing);
-        self.ends.insert(at.clone(), end);
-        self.unstored.insert(at.clone());
+        if restart_key(at).len() <= MAX_KEY_BYTES {
+            self.ends.insert(at.clone(), end);
+            self.unstored.insert(at.clone());
+        }
         end
     }
 
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -125,11 +125,16 @@
 #[derive(Debug, Default)]
 struct ObedientUpstreams {
     started: Mutex<Vec<RunId>>,
+    /// The number of appends of jobs so far, and when the last start was received.
+    appends: Arc<AtomicU64>,
+    appends_before: AtomicU64,
 }
 
 impl Upstreams for ObedientUpstreams {
     fn start(&self, _: Target, order: StartOrder) -> BoxFuture<'_, (Started, Option<Reading>)> {
         self.started.lock().unwrap().push(order.run);
+        let appends = self.appends.load(Ordering::Relaxed);
+        self.appends_before.store(appends, Ordering::Relaxed);
         Box::pin(async { (Started::Yes, None) })
     }
 
@@ -201,6 +206,8 @@
     declined: AtomicU64,
     /// The configuration, if it is not the default one.
     config: Mutex<Option<Config>>,
+    /// The number of appends of jobs.
+    appends: Arc<AtomicU64>,
     /// The upstreams in discovery.
     listings: Vec<Listing>,
     /// For how long the process is suspended once as the response to rows of jobs is on its way, in
@@ -297,6 +304,9 @@
                 return Err(Error::Silent("stalled".to_owned()));
             }
             self.write(area, terms, rows)?;
+            if area == Area::Jobs {
+                self.appends.fetch_add(1, Ordering::Relaxed);
+            }
             if rows.iter().any(|row| row.key.starts_with("j.")) {
                 self.suspend();
             }
@@ -644,10 +654,8 @@
     assert_eq!(store.lead().epoch(), EPOCH_STEP);
 }
 
-/// Submits a job to a VM that is suspended before it hears that the job is stored; returns the starts
-/// that its upstream has received by some time later. Another VM takes the lead meanwhile if
-/// `replaced`.
-async fn starts_after_suspension(replaced: bool) -> Vec<RunId> {
+/// Starts a VM with one upstream on a store.
+async fn start_with_upstream(replaced: bool) -> (Arc<MemoryStore>, Arc<ObedientUpstreams>, Host) {
     let listing = Listing {
         id: "upstream-1".into(),
         addr: "10.0.0.1:80".into(),
@@ -668,19 +676,49 @@
         replaced: AtomicBool::new(replaced),
         ..MemoryStore::default()
     });
-    let upstreams = Arc::new(ObedientUpstreams::default());
+    let upstreams = Arc::new(ObedientUpstreams {
+        appends: store.appends.clone(),
+        ..ObedientUpstreams::default()
+    });
     let vm = host::spawn(Parts {
         upstreams: upstreams.clone(),
         ..parts(store.clone())
     });
     let vm = vm.await.unwrap();
     wait_until(|| vm.is_ready()).await;
+    (store, upstreams, vm)
+}
+
+/// Submits a job to a VM that is suspended before it hears that the job is stored; returns the starts
+/// that its upstream has received by some time later. Another VM takes the lead meanwhile if
+/// `replaced`.
+async fn starts_after_suspension(replaced: bool) -> Vec<RunId> {
+    let (store, upstreams, vm) = start_with_upstream(replaced).await;
     store.suspend_ms.store(400, Ordering::Relaxed);
     vm.call(call(1, submission()), 3_000).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     upstreams.started.lock().unwrap().clone()
 }
 
+/// Guards against a start that waits for the store once more, as an idle leader has nothing to send
+/// between two confirmations of its lead.
+#[tokio::test]
+async fn a_leader_without_work_does_not_count_as_suspended() {
+    let (store, upstreams, vm) = start_with_upstream(false).await;
+    let appends = || store.appends.load(Ordering::Relaxed);
+    for _ in 0..2 {
+        let before = appends();
+        wait_until(|| appends() > before).await;
+    }
+    // Longer than the shortest suspension, and well before the lead is confirmed again.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let before = appends();
+    vm.call(call(1, submission()), 3_000).await;
+    wait_until(|| !upstreams.started.lock().unwrap().is_empty()).await;
+    let at_start = upstreams.appends_before.load(Ordering::Relaxed);
+    assert_eq!(at_start - before, 1);
+}
+
 /// Guards against TWICE: a leader that was replaced while it was suspended must not start what it had
 /// decided to start, as an upstream that has restarted since knows no higher token.
 #[tokio::test]
