--- a/tests/fleet/crashes.rs
+++ b/tests/fleet/crashes.rs
@@ -67,8 +67,7 @@
     }
 }
 
-/// Guards against a job that is shown as failed though its task never started: its orders reached no
-/// process.
+/// Guards against a job that is shown as failed as its orders reached no process.
 #[test]
 fn an_upstream_that_is_down_when_a_task_is_ordered_there_counts_for_no_crash() {
     let mut world = World::new(1, 2);
--- a/tests/fleet/stale.rs
+++ b/tests/fleet/stale.rs
@@ -533,8 +533,7 @@
     assert_eq!(world.runs_begun(here), 2);
 }
 
-/// Guards against a leader that resigns, as the next process of an upstream refuses an order that was
-/// meant for an earlier one.
+/// Guards against a leader that resigns as a new process refuses an order for an earlier one.
 #[test]
 fn an_order_for_an_earlier_process_that_is_refused_is_sent_again_to_the_present_one() {
     let (mut world, at) = world();
--- a/tests/fleet/timed.rs
+++ b/tests/fleet/timed.rs
@@ -111,8 +111,7 @@
 /// The largest record that the store accepts, in bytes.
 const RECORD_BYTES: usize = 262_144;
 
-/// Guards against a job whose row outgrows the records of the store, so that nothing of any job is
-/// stored any more.
+/// Guards against a row that the store refuses for its size, ahead of the rows of all other jobs.
 #[test]
 fn occurrences_that_stay_open_wait_rather_than_outgrow_the_row_of_their_job() {
     let mut world = World::new(1, 8);
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -700,8 +700,7 @@
     upstreams.started.lock().unwrap().clone()
 }
 
-/// Guards against a start that waits for the store once more, as an idle leader has nothing to send
-/// between two confirmations of its lead.
+/// Guards against starts that wait for a second append although the leader was only idle.
 #[tokio::test]
 async fn a_leader_without_work_does_not_count_as_suspended() {
     let (store, upstreams, vm) = start_with_upstream(false).await;
@@ -719,8 +718,7 @@
     assert_eq!(at_start - before, 1);
 }
 
-/// Guards against TWICE: a leader that was replaced while it was suspended must not start what it had
-/// decided to start, as an upstream that has restarted since knows no higher token.
+/// Guards against TWICE: a leader that was replaced while suspended starts what it had decided.
 #[tokio::test]
 async fn a_leader_that_was_suspended_and_replaced_starts_nothing() {
     assert_eq!(starts_after_suspension(true).await, Vec::new());
--- a/tests/modules_http.rs
+++ b/tests/modules_http.rs
@@ -90,8 +90,7 @@
     }
 }
 
-/// Guards against TWICE: an order that waits in a suspended process for its connection is sent once
-/// the process wakes.
+/// Guards against TWICE: an order that waited for its connection in a suspended process is sent.
 #[tokio::test]
 async fn a_request_that_expires_while_the_process_is_suspended_is_not_sent() {
     for (valid_ms, sent) in [(100, false), (5_000, true)] {
