--- /dev/null
+++ b/review/harness-3/src/cases.rs
@@ -0,0 +1,332 @@
+//! The cases. A verdict is none if the case could not run, or else whether the rule held, and why not.
+
+use crate::advisor;
+use crate::advisor::Tickets;
+use crate::advisor::Times;
+use crate::record::Record;
+use crate::vm::SIGCONT;
+use crate::vm::SIGSTOP;
+use crate::world::DEADLINE_MS;
+use crate::world::World;
+use crate::world::advised_route;
+use crate::world::config;
+use crate::world::route;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+type Verdict = Option<Result<(), String>>;
+
+pub fn run(case: &str, root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    match case {
+        "row" => row(root, folder, record, trouble),
+        "route" => removed_route(root, folder, record, trouble),
+        "cancel" => cancelled(root, folder, record, trouble),
+        "advice" => advice(root, folder, record, trouble),
+        "burst" => burst(root, folder, record, trouble),
+        _ => None,
+    }
+}
+
+fn sleep(ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+}
+
+fn job(spec: &str, steps: &str) -> String {
+    format!("{{\"spec\":\"{spec}\",\"steps\":[{steps}]}}")
+}
+
+/// Two long-running steps of 4096 tasks, which fail now and then and are started again, beside small
+/// jobs of another queue.
+fn row(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let routes = [route("r-large", "/large/", 2), route("r-small", "/small/", 1)];
+    let world = World::start(root, folder, record.clone(), 3, 48, "00000000000000aa.", &routes, "")?;
+    let fails = if trouble { 3 } else { 0 };
+    let large = "/large/00000000000000aa";
+    world.needs.lock().unwrap().insert("00000000000000aa".to_owned(), 300);
+    let step = "{\"count\":4096,\"cpu\":300,\"mem-mb\":64,\"estimate-ms\":1000,\"checkpointing\":true,\"long-running\":true}";
+    let body = job(&format!("work=0 fail={fails} failms=4000"), &format!("{step},{step}"));
+    let (status, _) = world.call(0, "POST", large, &body, DEADLINE_MS);
+    if status != 200 {
+        return None;
+    }
+    // Small jobs: two steps of one task each.
+    let step = "{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"gpu\":1,\"estimate-ms\":1000}";
+    let next = "{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"gpu\":1,\"estimate-ms\":1000,\"after\":[0]}";
+    let body = job("work=1000", &format!("{step},{next}"));
+    let begin = Instant::now();
+    let mut accepted = Vec::new();
+    for number in 0.. {
+        if begin.elapsed() >= Duration::from_secs(60) {
+            break;
+        }
+        let id = format!("b{number:015x}");
+        world.needs.lock().unwrap().insert(id.clone(), 1_000);
+        let path = format!("/small/{id}");
+        let (status, _) = world.call(number % world.vms.len(), "POST", &path, &body, DEADLINE_MS);
+        if status == 200 {
+            accepted.push((id, path));
+        }
+        let stored = world.store.stored_at.lock().unwrap().map_or(0, |at| at.elapsed().as_millis());
+        record.line(&format!(
+            "large job: tasks running={} largest row stored={:?} rows refused by the store for their size={} last row stored {stored} ms ago",
+            world.running("00000000000000aa"),
+            world.store.largest.lock().unwrap(),
+            world.store.refused.lock().unwrap().len()
+        ));
+        sleep(700);
+    }
+    record.line("end of the traffic");
+    // `finish_s` of 14 s, then the calm 3 s of the rule.
+    sleep(14_000);
+    let mut open = Vec::new();
+    for (id, path) in &accepted {
+        let state = world.state(0, path);
+        if state != "completed" {
+            open.push((id, path, state));
+        }
+    }
+    let idle = |id: &str| (0..30).all(|_| {
+        sleep(100);
+        world.running(id) == 0
+    });
+    let refused = world.store.refused.lock().unwrap().len();
+    for (id, path, state) in &open {
+        if idle(id) {
+            let now = world.state(1, path);
+            return Some(Err(format!(
+                "LOST: {} of {} accepted small jobs are not completed 14 s after the traffic; job {id} is {state:?}, then {now:?}, and had nothing running for 3 s; the store refused {refused} rows as too large, the last being {:?}",
+                open.len(),
+                accepted.len(),
+                world.store.refused.lock().unwrap().last().map(|last| (&last.1, last.2)),
+            )));
+        }
+    }
+    record.line(&format!("accepted={} completed={}", accepted.len(), accepted.len() - open.len()));
+    if accepted.len() < 10 { None } else { Some(Ok(())) }
+}
+
+/// A route is removed whose prefix begins with that of a route that stays.
+fn removed_route(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let kept = route("r-kept", "/pule252/", 1);
+    let removed = route("r-removed", "/pule252/lohu930/", 1);
+    let world = World::start(root, folder, record.clone(), 3, 8, "", &[kept.clone(), removed], "")?;
+    let step = "{\"count\":2,\"cpu\":1000,\"mem-mb\":64,\"gpu\":1,\"estimate-ms\":20000}";
+    let body = job("work=25000", step);
+    let (id, other) = ("5c0e7a21d94b36f8", "5c0e7a21d94b36f9");
+    let path = |id: &str| format!("/pule252/lohu930/{id}");
+    for id in [id, other] {
+        world.needs.lock().unwrap().insert(id.to_owned(), 1_000);
+        let (status, _) = world.call(0, "POST", &path(id), &body, DEADLINE_MS);
+        if status != 200 {
+            return None;
+        }
+    }
+    sleep(4_000);
+    if trouble {
+        world.store.put("keyed.op", "config", &config(9, &[kept]));
+        record.line("operator writes config version=9: the route /pule252/lohu930/ is removed");
+    }
+    // Later than `config-apply-ms` after that, and than `visible_ms` after the acknowledgement.
+    sleep(4_000);
+    let mut broken = Vec::new();
+    for vm in 0..world.vms.len() {
+        let state = world.state(vm, &path(id));
+        if state == "410" {
+            broken.push(format!(
+                "LOST: the GET for the accepted job {id}, which nobody has cancelled, is answered 410 by {}, while {} of its tasks run",
+                world.vms[vm].name,
+                world.running(id)
+            ));
+        }
+    }
+    let (status, _) = world.call(0, "DELETE", &path(other), "", DEADLINE_MS);
+    if status == 200 || status == 410 {
+        // `cancel_ms` and `stop-ms` later all its tasks have to be gone.
+        sleep(3_000 + 200 + 1_000);
+        let running = world.running(other);
+        record.line(&format!("job {other}: cancelled with {status}, tasks running={running} 4.2 s later"));
+        if running > 0 {
+            broken.push(format!(
+                "UNASKED: {running} tasks of job {other} run on 4.2 s after its cancelling was acknowledged with {status}"
+            ));
+        }
+    }
+    Some(if broken.is_empty() { Ok(()) } else { Err(broken.join("; ")) })
+}
+
+/// A machine freezes while a job is handed in to it; the client leaves, and cancels the job elsewhere.
+fn cancelled(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let world = World::start(root, folder, record.clone(), 3, 8, "", &[route("r", "/pule252/", 1)], "")?;
+    sleep(3_000);
+    let leader = world.leader();
+    let front = (leader + 1) % world.vms.len();
+    let other = (leader + 2) % world.vms.len();
+    record.line(&format!("leader={} the client's machine={}", world.vms[leader].name, world.vms[front].name));
+    let step = "{\"count\":2,\"cpu\":1000,\"mem-mb\":64,\"gpu\":1,\"estimate-ms\":20000}";
+    let body = job("work=25000", step);
+    let id = "5c0e7a21d94b36f8";
+    let path = format!("/pule252/{id}");
+    world.needs.lock().unwrap().insert(id.to_owned(), 1_000);
+    let frozen = Instant::now();
+    if trouble {
+        world.vms[front].signal(SIGSTOP);
+        record.line(&format!("{} freezes", world.vms[front].name));
+    }
+    sleep(50);
+    let (status, _) = world.call(front, "POST", &path, &body, 500);
+    let (cancel, _) = world.call(other, "DELETE", &path, "", DEADLINE_MS);
+    if cancel != 200 && cancel != 410 {
+        return None;
+    }
+    let acked = Instant::now();
+    sleep(4_000u64.saturating_sub(frozen.elapsed().as_millis() as u64));
+    if trouble {
+        world.vms[front].signal(SIGCONT);
+        record.line(&format!("{} wakes", world.vms[front].name));
+    }
+    // `cancel_ms` and `stop-ms` after the acknowledgement all tasks have to be gone, and
+    // `contact-ms` after that the machines are in touch again.
+    let mut worst = 0;
+    while acked.elapsed() < Duration::from_millis(12_000) {
+        sleep(100);
+        if acked.elapsed() > Duration::from_millis(3_000 + 200 + 100) {
+            worst = worst.max(world.running(id));
+        }
+    }
+    let state = world.state(other, &path);
+    record.line(&format!("job {id}: submitted with {status}, cancelled with {cancel}, then state={state} tasks running={worst}"));
+    Some(if worst == 0 {
+        Ok(())
+    } else {
+        Err(format!("UNASKED: {worst} tasks of job {id} run later than 3.2 s after its cancelling was acknowledged with {cancel}; its state is {state:?}"))
+    })
+}
+
+/// A burst of large jobs of many small tasks fills the service; then urgent jobs come, within the
+/// guarantee of their tenant.
+fn burst(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let routes = [route("r-large", "/large/", 2), route("r-urgent", "/urgent/", 0)];
+    let world = World::start(root, folder, record.clone(), 3, 48, "a", &routes, "")?;
+    let env = |key: &str, or: u64| std::env::var(key).ok().and_then(|v| v.parse().ok()).unwrap_or(or);
+    let cpu = env("CPU", 375);
+    let large = if trouble { env("JOBS", 4) } else { 1 };
+    let step = format!("{{\"count\":4096,\"cpu\":{cpu},\"mem-mb\":16,\"estimate-ms\":60000}}");
+    let body = job("work=200000", &step);
+    let mut accepted = Vec::new();
+    for number in 0..large {
+        let id = format!("a{number:015x}");
+        world.needs.lock().unwrap().insert(id.clone(), cpu);
+        let path = format!("/large/{id}");
+        if world.call(0, "POST", &path, &body, DEADLINE_MS).0 == 200 {
+            accepted.push(path);
+        }
+        sleep(500);
+    }
+    let running = || world.runners.iter().map(|runner| runner.running().len()).sum::<usize>();
+    // Until all of them run, or the room is full.
+    let begin = Instant::now();
+    let mut before = 0;
+    while begin.elapsed() < Duration::from_secs(25) {
+        sleep(2_000);
+        let now = running();
+        if now == before {
+            break;
+        }
+        before = now;
+    }
+    record.line(&format!("tasks running={} of large jobs={large}", running()));
+    let begin = Instant::now();
+    for number in 0u64.. {
+        if begin.elapsed() >= Duration::from_secs(20) {
+            break;
+        }
+        let id = format!("b{number:015x}");
+        world.needs.lock().unwrap().insert(id.clone(), 15_000);
+        let gang = "{\"count\":4,\"cpu\":15000,\"mem-mb\":1024,\"gpu\":2,\"gang\":true,\"estimate-ms\":2500}";
+        let path = format!("/urgent/{id}");
+        if world.call(number as usize % world.vms.len(), "POST", &path, &job("work=2500", gang), DEADLINE_MS).0 == 200 {
+            accepted.push(path);
+        }
+        record.line(&format!("tasks running={} leader={} changes of the leader={}", running(), world.vms[world.leader()].name, world.changes()));
+        sleep(1_500);
+    }
+    record.line("end of the traffic");
+    sleep(14_000);
+    let mut silent = Vec::new();
+    for path in &accepted {
+        let answers: Vec<String> = (0..world.vms.len()).map(|vm| world.state(vm, path)).collect();
+        if !answers.iter().any(|state| state.parse::<u16>().is_err()) {
+            silent.push(format!("{path} {answers:?}"));
+        }
+        if silent.len() >= 3 {
+            break;
+        }
+    }
+    record.line(&format!("accepted={} without an answer={} changes of the leader={}", accepted.len(), silent.len(), world.changes()));
+    Some(match silent.first() {
+        None => Ok(()),
+        Some(first) => Err(format!(
+            "LOST: 14 s after the traffic no machine answers in time to the GET for {first}; the lead changed {} times since the start, with no disruption but the traffic",
+            world.changes()
+        )),
+    })
+}
+
+/// A job of many tasks on a queue that needs advice, on an idle service.
+fn advice(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let times = Times { decide_ms: 500, each_ms: 50, valid_ms: 3_000 };
+    let tickets = Tickets::default();
+    let addr = advisor::start(times, &tickets, record);
+    let more = format!("\"advice\":\"{addr}\",");
+    let world = World::start(root, folder, record.clone(), 3, 48, "", &[advised_route("r", "/pule252/", 0, times)], &more)?;
+    for runner in &world.runners {
+        runner.need_tickets(&tickets, times.valid_ms);
+    }
+    sleep(2_000);
+    // 21 is the widest job of `revision-rapida`; 4 is near its mean.
+    let count = if trouble { 21 } else { 4 };
+    let step = format!("{{\"count\":{count},\"cpu\":15000,\"mem-mb\":31000,\"gpu\":8,\"estimate-ms\":2500}}");
+    let id = "5c0e7a21d94b36f8";
+    let path = format!("/pule252/{id}");
+    world.needs.lock().unwrap().insert(id.to_owned(), 15_000);
+    let (status, _) = world.call(0, "POST", &path, &job("work=2500", &step), DEADLINE_MS);
+    if status != 200 {
+        return None;
+    }
+    // Small jobs that come after it.
+    let step = "{\"count\":2,\"cpu\":15000,\"mem-mb\":31000,\"gpu\":1,\"estimate-ms\":2500}";
+    let mut small = Vec::new();
+    for number in 0..5 {
+        sleep(1_000);
+        let id = format!("b{number:015x}");
+        world.needs.lock().unwrap().insert(id.clone(), 15_000);
+        let path = format!("/pule252/{id}");
+        if world.call(number % 3, "POST", &path, &job("work=2500", step), DEADLINE_MS).0 == 200 {
+            small.push(path);
+        }
+    }
+    let begin = Instant::now();
+    let mut most = 0;
+    while begin.elapsed() < Duration::from_secs(60) {
+        sleep(50);
+        most = most.max(world.running(id));
+    }
+    let state = world.state(2, &path);
+    let open: Vec<String> = small.iter().map(|path| world.state(1, path)).filter(|state| state != "completed").collect();
+    record.line(&format!(
+        "job {id}: {count} tasks, state={state}, most tasks at work at a time={most}; small jobs accepted={} not completed={}",
+        small.len(),
+        open.len()
+    ));
+    Some(if state == "completed" && open.is_empty() {
+        Ok(())
+    } else {
+        Err(format!(
+            "LOST: the accepted job {id} of {count} tasks is {state:?} 60 s after it was handed in, and had at most {most} tasks at work, on 48 idle runners with room for 48; of {} small jobs accepted after it {} are not completed either: {open:?}",
+            small.len(),
+            open.len()
+        ))
+    })
+}
