Review: stand-in of the machines' service, and a case of two holders in touch

A larger machine joins while waves are under way and takes the lead over: its orders repeat those of the machine that led before, 1.8 s later, with both in touch (lease-ms is 3,000).

--- a/review/harness-3/src/cases.rs
+++ b/review/harness-3/src/cases.rs
@@ -3,7 +3,10 @@
 use crate::advisor;
 use crate::advisor::Tickets;
 use crate::advisor::Times;
+use crate::cloud;
+use crate::cloud::Cloud;
 use crate::record::Record;
+use crate::vm::Vm;
 use crate::world::DEADLINE_MS;
 use crate::world::World;
 use crate::world::advised_route;
@@ -21,6 +24,7 @@
         "row" => row(root, folder, record, trouble),
         "route" => removed_route(root, folder, record, trouble),
         "advice" => advice(root, folder, record, trouble),
+        "holders" => holders(root, folder, record, trouble),
         "late" => late_order(root, folder, record, trouble),
         "given-up" => given_up(root, folder, record, trouble),
         _ => None,
@@ -319,3 +323,54 @@
     }
     Some(if again == 0 { Ok(()) } else { Err(format!("TWICE: the task of job {id} runs again, after its run had ended `done`, that end had been taken note of, and the job had been shown as completed")) })
 }
+
+/// A larger machine joins while waves of upkeep are under way, and takes over the lead.
+fn holders(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let cloud = Cloud::new(record);
+    let more = format!("\"machines\":\"{}\",", cloud.serve());
+    let world = World::start(root, folder, record.clone(), 3, 24, "", &[route("r", "/pule252/", 1)], &more)?;
+    cloud.set_machines(&world.runners);
+    sleep(3_000);
+    // Three waves of eight machines, one at a time each, 1.2 s apart.
+    for wave in 1..=3u64 {
+        let machines: Vec<String> = (0..8).map(|at| cloud::name(wave as usize * 8 - 8 + at)).collect();
+        cloud.waves.lock().unwrap().insert(wave, machines.clone());
+        let names: Vec<String> = machines.iter().map(|name| format!("\"{name}\"")).collect();
+        let text = format!("{{\"wave\":{wave},\"machines\":[{}],\"within-s\":60,\"maximum\":1}}", names.join(","));
+        world.store.put("keyed.op", &format!("wave/{wave}"), &text);
+        record.line(&format!("operator orders wave {wave}"));
+        sleep(1_200);
+    }
+    sleep(3_000);
+    let joined = Instant::now();
+    let added = trouble.then(|| {
+        record.line("front-4 is added, with 0.5 of a core");
+        Vm::start(root, folder, "front-4", world.store_addr, 0.5, &more)
+    });
+    sleep(12_000);
+    let orders = cloud.orders.lock().unwrap().clone();
+    drop(added);
+    let mut worst: Option<(Duration, String)> = None;
+    for (at, order) in orders.iter().enumerate() {
+        let before = orders[..at].iter().rev().find(|other| other.machine == order.machine);
+        let Some(before) = before.filter(|other| other.holder != order.holder) else { continue };
+        // `contact-ms` after its start the added machine is in touch; no other one was disrupted.
+        let in_touch = [before, order].iter().all(|o| o.holder != "front-4" || o.at >= joined + Duration::from_millis(3_000));
+        let gap = order.at - before.at;
+        let text = format!(
+            "{} was ordered by {} with token {}, and {} ms later by {} with token {}",
+            order.machine, before.holder, before.token, gap.as_millis(), order.holder, order.token
+        );
+        record.line(&format!("{text}; both in touch={in_touch}"));
+        if in_touch && worst.as_ref().is_none_or(|(least, _)| gap < *least) {
+            worst = Some((gap, text));
+        }
+    }
+    if orders.len() < 3 {
+        return None;
+    }
+    Some(match worst {
+        Some((gap, text)) if gap < Duration::from_millis(3_000) => Err(format!("ONE: two holders in touch take turns within `lease-ms`: {text}")),
+        _ => Ok(()),
+    })
+}
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -4,6 +4,7 @@
 
 mod advisor;
 mod cases;
+mod cloud;
 mod http;
 mod json;
 mod record;
--- a/review/harness-3/src/vm.rs
+++ b/review/harness-3/src/vm.rs
@@ -43,10 +43,10 @@
 impl Vm {
     /// Starts a process with the settings of `deploy/vm.jsonc.template`, filled in as for a machine
     /// of `sites/arena-juicio.toml`. `more` are further settings that the template has.
-    pub fn start(root: &Path, folder: &Path, name: &str, store: SocketAddr, more: &str) -> Self {
+    pub fn start(root: &Path, folder: &Path, name: &str, store: SocketAddr, cpu_share: f64, more: &str) -> Self {
         let ports = free(4);
         let text = format!(
-            "{{\"vm\":\"{name}\",\"centre\":\"z\",\"cpu_share\":0.25,\"callers\":\"{}\",\"ready\":\"{}\",\"peers\":\"{}\",\"metrics\":\"{}\",\"store\":\"{store}\",{more}\"upkeep_s\":2,\"grace_s\":6,\"strict_revocation\":true,\"revoke_ms\":5000,\"config_apply_ms\":2000,\"max_lease_ms\":6000,\"stop_ms\":200,\"keep_s\":120,\"restore_ms\":600,\"duration_percentile\":0,\"reclaim_ms\":2700}}",
+            "{{\"vm\":\"{name}\",\"centre\":\"z\",\"cpu_share\":{cpu_share},\"callers\":\"{}\",\"ready\":\"{}\",\"peers\":\"{}\",\"metrics\":\"{}\",\"store\":\"{store}\",{more}\"upkeep_s\":2,\"grace_s\":6,\"strict_revocation\":true,\"revoke_ms\":5000,\"config_apply_ms\":2000,\"max_lease_ms\":6000,\"stop_ms\":200,\"keep_s\":120,\"restore_ms\":600,\"duration_percentile\":0,\"reclaim_ms\":2700}}",
             ports[0], ports[1], ports[2], ports[3]
         );
         let settings = folder.join(format!("{name}.jsonc"));
--- a/review/harness-3/src/world.rs
+++ b/review/harness-3/src/world.rs
@@ -15,6 +15,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// The share of a core of each machine, as on the users' sheets.
+pub const CPU_SHARE: f64 = 0.25;
 pub const HOST: &str = "nony24.example";
 pub const KEY: &str = "d4a3hwrr6x73d3zji9n7";
 /// How long a client waits for a response, as on the users' sheets.
@@ -23,6 +25,7 @@
 pub struct World {
     pub record: Arc<Record>,
     pub store: Arc<Store>,
+    pub store_addr: SocketAddr,
     pub runners: Vec<Arc<Runner>>,
     pub vms: Vec<Vm>,
     pub needs: Needs,
@@ -62,8 +65,8 @@
         let runners = (0..runners)
             .map(|at| Runner::start(&format!("i-{at:04x}"), 128_000, &format!("r1-{}", at / 8), &store, &record, &needs, quiet))
             .collect();
-        let vms: Vec<Vm> = (0..vms).map(|at| Vm::start(root, folder, &format!("front-{}", at + 1), addr, more)).collect();
-        let world = Self { record, store, runners, vms, needs };
+        let vms: Vec<Vm> = (0..vms).map(|at| Vm::start(root, folder, &format!("front-{}", at + 1), addr, CPU_SHARE, more)).collect();
+        let world = Self { record, store, store_addr: addr, runners, vms, needs };
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
             if world.vms.iter().all(Vm::is_ready) && Vm::leads(&world.vms).is_some() {
