--- a/review/harness-3/src/cases.rs
+++ b/review/harness-3/src/cases.rs
@@ -25,6 +25,8 @@
         "route" => removed_route(root, folder, record, trouble),
         "advice" => advice(root, folder, record, trouble),
         "holders" => holders(root, folder, record, trouble),
+        "turns" => turns(root, folder, record, trouble),
+        "leader-lost" => leader_lost(root, folder, record, trouble),
         "late" => late_order(root, folder, record, trouble),
         "given-up" => given_up(root, folder, record, trouble),
         _ => None,
@@ -374,3 +376,68 @@
         _ => Ok(()),
     })
 }
+
+/// A job of one long task that is due many times at once, beside small jobs: no task fails. With
+/// `trouble` 8,192 times, else 1,000.
+fn turns(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let routes = [route("r-large", "/large/", 2), route("r-small", "/small/", 1)];
+    let world = World::start(root, folder, record.clone(), 3, 48, "00000000000000aa.", &routes, "")?;
+    let large = "/large/00000000000000aa";
+    world.needs.lock().unwrap().insert("00000000000000aa".to_owned(), 300);
+    let times = if trouble { 8_192 } else { 1_000 };
+    let first = crate::record::unix_ms() - times * 1_000;
+    let step = "{\"count\":1,\"cpu\":300,\"mem-mb\":64,\"estimate-ms\":1000,\"checkpointing\":true}";
+    let body = format!(
+        "{{\"spec\":\"work=8000\",\"steps\":[{step}],\"start-at-ms\":{first},\"interval-ms\":1000,\"repeat-count\":{times}}}"
+    );
+    if world.call(0, "POST", large, &body, DEADLINE_MS).0 != 200 {
+        return None;
+    }
+    let step = "{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"gpu\":1,\"estimate-ms\":1000}";
+    let body = job("work=1000", step);
+    let mut last = 0;
+    for number in 0..30usize {
+        let id = format!("b{number:015x}");
+        world.needs.lock().unwrap().insert(id.clone(), 1_000);
+        last = world.call(number % 3, "POST", &format!("/small/{id}"), &body, DEADLINE_MS).0;
+        record.line(&format!(
+            "large job: tasks running={} largest row stored={:?} rows refused={}",
+            world.running("00000000000000aa"),
+            world.store.largest.lock().unwrap(),
+            world.store.refused.lock().unwrap().len()
+        ));
+        sleep(700);
+    }
+    let refused = world.store.refused.lock().unwrap().len();
+    Some(if last == 200 && refused == 0 { Ok(()) } else { Err(format!("LOST: the last small job is answered {last}; rows refused={refused}")) })
+}
+
+/// The runner of a task that lasts is lost for good, and the leader with it.
+fn leader_lost(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let world = World::start(root, folder, record.clone(), 3, 8, "", &[route("r", "/pule252/", 1)], "")?;
+    sleep(2_000);
+    let id = "5c0e7a21d94b36f8";
+    let path = format!("/pule252/{id}");
+    world.needs.lock().unwrap().insert(id.to_owned(), 15_000);
+    let step = "{\"count\":1,\"cpu\":15000,\"mem-mb\":31000,\"gpu\":1,\"estimate-ms\":1000,\"long-running\":true}";
+    let (status, _) = world.call(0, "POST", &path, &job("work=0", step), DEADLINE_MS);
+    if status != 200 {
+        return None;
+    }
+    sleep(4_000);
+    let runner = world.runners.iter().find(|runner| !runner.running().is_empty())?;
+    runner.set_cut(true);
+    runner.crash();
+    let lost = Instant::now();
+    if trouble {
+        let leader = Vm::leads(&world.vms)?;
+        world.vms[leader].kill();
+        record.line(&format!("{} is removed for good", world.vms[leader].name));
+    }
+    while world.running(id) == 0 && lost.elapsed() < Duration::from_secs(30) {
+        sleep(10);
+    }
+    let away = lost.elapsed().as_millis();
+    record.line(&format!("the task is at work again after {away} ms"));
+    Some(if away <= 9_000 { Ok(()) } else { Err(format!("LOST: a task that lasts has nothing running for {away} ms, from 6 s after its last run for over 3 s")) })
+}
