--- a/review/harness-3/src/advisor.rs
+++ b/review/harness-3/src/advisor.rs
@@ -35,16 +35,31 @@
             return Some((400, Vec::new()));
         };
         let _turn = turn.lock().unwrap();
-        record.line(&format!("advice asked for step {step} about {} workers", workers.len()));
-        std::thread::sleep(Duration::from_millis(times.decide_ms + times.each_ms * workers.len() as u64));
+        record.line(&format!(
+            "advice asked for step {step} about {} workers",
+            workers.len()
+        ));
+        std::thread::sleep(Duration::from_millis(
+            times.decide_ms + times.each_ms * workers.len() as u64,
+        ));
         let mut good = Vec::new();
         for worker in workers {
             let Json::Str(worker) = worker else { continue };
-            tickets.lock().unwrap().insert((step.clone(), worker.clone()), Instant::now());
+            tickets
+                .lock()
+                .unwrap()
+                .insert((step.clone(), worker.clone()), Instant::now());
             good.push(format!("[\"{worker}\",\"{}\"]", ticket(&step, worker)));
         }
-        record.line(&format!("advice answers for step {step}: {} good", good.len()));
-        let text = format!("{{\"good\":[{}],\"valid-ms\":{}}}", good.join(","), times.valid_ms);
+        record.line(&format!(
+            "advice answers for step {step}: {} good",
+            good.len()
+        ));
+        let text = format!(
+            "{{\"good\":[{}],\"valid-ms\":{}}}",
+            good.join(","),
+            times.valid_ms
+        );
         Some((200, checked(text).into_bytes()))
     }))
 }
--- a/review/harness-3/src/cases.rs
+++ b/review/harness-3/src/cases.rs
@@ -7,11 +7,11 @@
 use crate::cloud::Cloud;
 use crate::record::Record;
 use crate::vm::Vm;
-use crate::world::DEADLINE_MS;
-use crate::world::World;
 use crate::world::advised_route;
 use crate::world::config;
 use crate::world::route;
+use crate::world::World;
+use crate::world::DEADLINE_MS;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,20 +44,40 @@
 /// Two long-running steps of 4096 tasks, which fail now and then and are started again, beside small
 /// jobs of another queue.
 fn row(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let routes = [route("r-large", "/large/", 2), route("r-small", "/small/", 1)];
-    let world = World::start(root, folder, record.clone(), 3, 48, "00000000000000aa.", &routes, "")?;
+    let routes = [
+        route("r-large", "/large/", 2),
+        route("r-small", "/small/", 1),
+    ];
+    let world = World::start(
+        root,
+        folder,
+        record.clone(),
+        3,
+        48,
+        "00000000000000aa.",
+        &routes,
+        "",
+    )?;
     let fails = if trouble { 3 } else { 0 };
     let large = "/large/00000000000000aa";
-    world.needs.lock().unwrap().insert("00000000000000aa".to_owned(), 300);
+    world
+        .needs
+        .lock()
+        .unwrap()
+        .insert("00000000000000aa".to_owned(), 300);
     let step = "{\"count\":4096,\"cpu\":300,\"mem-mb\":64,\"estimate-ms\":1000,\"checkpointing\":true,\"long-running\":true}";
-    let body = job(&format!("work=0 fail={fails} failms=4000"), &format!("{step},{step}"));
+    let body = job(
+        &format!("work=0 fail={fails} failms=4000"),
+        &format!("{step},{step}"),
+    );
     let (status, _) = world.call(0, "POST", large, &body, DEADLINE_MS);
     if status != 200 {
         return None;
     }
     // Small jobs: two steps of one task each.
     let step = "{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"gpu\":1,\"estimate-ms\":1000}";
-    let next = "{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"gpu\":1,\"estimate-ms\":1000,\"after\":[0]}";
+    let next =
+        "{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"gpu\":1,\"estimate-ms\":1000,\"after\":[0]}";
     let body = job("work=1000", &format!("{step},{next}"));
     let begin = Instant::now();
     let mut accepted = Vec::new();
@@ -72,7 +92,12 @@
         if status == 200 {
             accepted.push((id, path));
         }
-        let stored = world.store.stored_at.lock().unwrap().map_or(0, |at| at.elapsed().as_millis());
+        let stored = world
+            .store
+            .stored_at
+            .lock()
+            .unwrap()
+            .map_or(0, |at| at.elapsed().as_millis());
         record.line(&format!(
             "large job: tasks running={} largest row stored={:?} rows refused by the store for their size={} last row stored {stored} ms ago",
             world.running("00000000000000aa"),
@@ -95,10 +120,12 @@
             break;
         }
     }
-    let idle = |id: &str| (0..30).all(|_| {
-        sleep(100);
-        world.running(id) == 0
-    });
+    let idle = |id: &str| {
+        (0..30).all(|_| {
+            sleep(100);
+            world.running(id) == 0
+        })
+    };
     let refused = world.store.refused.lock().unwrap().len();
     let lost = open.iter().find(|(id, ..)| idle(id));
     if let Some((id, path, state)) = lost {
@@ -120,21 +147,41 @@
         sleep(10_000);
         world.call(1, "POST", "/small/c000000000000000", &body, DEADLINE_MS);
         let after = world.store.refused.lock().unwrap().len();
-        record.line(&format!("10 s after all machines started again the store has refused {} more rows", after - refused));
+        record.line(&format!(
+            "10 s after all machines started again the store has refused {} more rows",
+            after - refused
+        ));
         world.call(0, "DELETE", large, "", DEADLINE_MS);
         sleep(2_000);
         world.call(1, "POST", "/small/c000000000000001", &body, DEADLINE_MS);
         return Some(Err(why));
     }
-    record.line(&format!("accepted={} completed={}", accepted.len(), accepted.len() - open.len()));
-    if accepted.len() < 10 { None } else { Some(Ok(())) }
+    record.line(&format!(
+        "accepted={} completed={}",
+        accepted.len(),
+        accepted.len() - open.len()
+    ));
+    if accepted.len() < 10 {
+        None
+    } else {
+        Some(Ok(()))
+    }
 }
 
 /// A route is removed whose prefix begins with that of a route that stays.
 fn removed_route(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
     let kept = route("r-kept", "/pule252/", 1);
     let removed = route("r-removed", "/pule252/lohu930/", 1);
-    let world = World::start(root, folder, record.clone(), 3, 8, "", &[kept.clone(), removed], "")?;
+    let world = World::start(
+        root,
+        folder,
+        record.clone(),
+        3,
+        8,
+        "",
+        &[kept.clone(), removed],
+        "",
+    )?;
     let step = "{\"count\":2,\"cpu\":1000,\"mem-mb\":64,\"gpu\":1,\"estimate-ms\":20000}";
     let body = job("work=25000", step);
     let (id, other) = ("5c0e7a21d94b36f8", "5c0e7a21d94b36f9");
@@ -169,30 +216,51 @@
         // `cancel_ms` and `stop-ms` later all its tasks have to be gone.
         sleep(3_000 + 200 + 1_000);
         let running = world.running(other);
-        record.line(&format!("job {other}: cancelled with {status}, tasks running={running} 4.2 s later"));
+        record.line(&format!(
+            "job {other}: cancelled with {status}, tasks running={running} 4.2 s later"
+        ));
         if running > 0 {
             broken.push(format!(
                 "UNASKED: {running} tasks of job {other} run on 4.2 s after its cancelling was acknowledged with {status}"
             ));
         }
     }
-    Some(if broken.is_empty() { Ok(()) } else { Err(broken.join("; ")) })
+    Some(if broken.is_empty() {
+        Ok(())
+    } else {
+        Err(broken.join("; "))
+    })
 }
 
 /// A job of many tasks on a queue that needs advice, on an idle service.
 fn advice(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let times = Times { decide_ms: 500, each_ms: 50, valid_ms: 3_000 };
+    let times = Times {
+        decide_ms: 500,
+        each_ms: 50,
+        valid_ms: 3_000,
+    };
     let tickets = Tickets::default();
     let addr = advisor::start(times, &tickets, record);
     let more = format!("\"advice\":\"{addr}\",");
-    let world = World::start(root, folder, record.clone(), 3, 48, "", &[advised_route("r", "/pule252/", 0, times)], &more)?;
+    let world = World::start(
+        root,
+        folder,
+        record.clone(),
+        3,
+        48,
+        "",
+        &[advised_route("r", "/pule252/", 0, times)],
+        &more,
+    )?;
     for runner in &world.runners {
         runner.need_tickets(&tickets, times.valid_ms);
     }
     sleep(2_000);
     // 21 is the widest job of `revision-rapida`; 4 is near its mean.
     let count = if trouble { 21 } else { 4 };
-    let step = format!("{{\"count\":{count},\"cpu\":15000,\"mem-mb\":31000,\"gpu\":8,\"estimate-ms\":2500}}");
+    let step = format!(
+        "{{\"count\":{count},\"cpu\":15000,\"mem-mb\":31000,\"gpu\":8,\"estimate-ms\":2500}}"
+    );
     let id = "5c0e7a21d94b36f8";
     let path = format!("/pule252/{id}");
     world.needs.lock().unwrap().insert(id.to_owned(), 15_000);
@@ -208,7 +276,17 @@
         let id = format!("b{number:015x}");
         world.needs.lock().unwrap().insert(id.clone(), 15_000);
         let path = format!("/pule252/{id}");
-        if world.call(number % 3, "POST", &path, &job("work=2500", step), DEADLINE_MS).0 == 200 {
+        if world
+            .call(
+                number % 3,
+                "POST",
+                &path,
+                &job("work=2500", step),
+                DEADLINE_MS,
+            )
+            .0
+            == 200
+        {
             small.push(path);
         }
     }
@@ -219,7 +297,11 @@
         most = most.max(world.running(id));
     }
     let state = world.state(2, &path);
-    let open: Vec<String> = small.iter().map(|path| world.state(1, path)).filter(|state| state != "completed").collect();
+    let open: Vec<String> = small
+        .iter()
+        .map(|path| world.state(1, path))
+        .filter(|state| state != "completed")
+        .collect();
     record.line(&format!(
         "job {id}: {count} tasks, state={state}, most tasks at work at a time={most}; small jobs accepted={} not completed={}",
         small.len(),
@@ -239,7 +321,16 @@
 /// The runner of a task is cut off, the task is done there, then the runner crashes behind the cut and
 /// starts again: three times.
 fn given_up(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let world = World::start(root, folder, record.clone(), 3, 48, "", &[route("r", "/pule252/", 1)], "")?;
+    let world = World::start(
+        root,
+        folder,
+        record.clone(),
+        3,
+        48,
+        "",
+        &[route("r", "/pule252/", 1)],
+        "",
+    )?;
     sleep(2_000);
     let id = "5c0e7a21d94b36f8";
     let path = format!("/pule252/{id}");
@@ -253,7 +344,12 @@
     for _ in 0..if trouble { 3 } else { 0 } {
         let begin = Instant::now();
         let runner = loop {
-            let at = world.runners.iter().find(|runner| runner.running().iter().any(|(task, _)| task.starts_with(id)));
+            let at = world.runners.iter().find(|runner| {
+                runner
+                    .running()
+                    .iter()
+                    .any(|(task, _)| task.starts_with(id))
+            });
             if let Some(runner) = at {
                 break runner;
             }
@@ -287,7 +383,16 @@
 /// An order to start a task gets no answer and is carried out seconds later, by the next process of the
 /// runner, which has started again under its identity meanwhile.
 fn late_order(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let world = World::start(root, folder, record.clone(), 3, 8, "", &[route("r", "/pule252/", 1)], "")?;
+    let world = World::start(
+        root,
+        folder,
+        record.clone(),
+        3,
+        8,
+        "",
+        &[route("r", "/pule252/", 1)],
+        "",
+    )?;
     sleep(2_000);
     let id = "5c0e7a21d94b36f8";
     let path = format!("/pule252/{id}");
@@ -323,22 +428,40 @@
         again = again.max(world.running(id));
         sleep(10);
     }
-    Some(if again == 0 { Ok(()) } else { Err(format!("TWICE: the task of job {id} runs again, after its run had ended `done`, that end had been taken note of, and the job had been shown as completed")) })
+    Some(if again == 0 {
+        Ok(())
+    } else {
+        Err(format!("TWICE: the task of job {id} runs again, after its run had ended `done`, that end had been taken note of, and the job had been shown as completed"))
+    })
 }
 
 /// A larger machine joins while waves of upkeep are under way, and takes over the lead.
 fn holders(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
     let cloud = Cloud::new(record);
     let more = format!("\"machines\":\"{}\",", cloud.serve());
-    let world = World::start(root, folder, record.clone(), 3, 24, "", &[route("r", "/pule252/", 1)], &more)?;
+    let world = World::start(
+        root,
+        folder,
+        record.clone(),
+        3,
+        24,
+        "",
+        &[route("r", "/pule252/", 1)],
+        &more,
+    )?;
     cloud.set_machines(&world.runners);
     sleep(3_000);
     // Three waves of eight machines, one at a time each, 1.2 s apart.
     for wave in 1..=3u64 {
-        let machines: Vec<String> = (0..8).map(|at| cloud::name(wave as usize * 8 - 8 + at)).collect();
+        let machines: Vec<String> = (0..8)
+            .map(|at| cloud::name(wave as usize * 8 - 8 + at))
+            .collect();
         cloud.waves.lock().unwrap().insert(wave, machines.clone());
         let names: Vec<String> = machines.iter().map(|name| format!("\"{name}\"")).collect();
-        let text = format!("{{\"wave\":{wave},\"machines\":[{}],\"within-s\":60,\"maximum\":1}}", names.join(","));
+        let text = format!(
+            "{{\"wave\":{wave},\"machines\":[{}],\"within-s\":60,\"maximum\":1}}",
+            names.join(",")
+        );
         world.store.put("keyed.op", &format!("wave/{wave}"), &text);
         record.line(&format!("operator orders wave {wave}"));
         sleep(1_200);
@@ -354,14 +477,26 @@
     drop(added);
     let mut worst: Option<(Duration, String)> = None;
     for (at, order) in orders.iter().enumerate() {
-        let before = orders[..at].iter().rev().find(|other| other.machine == order.machine);
-        let Some(before) = before.filter(|other| other.holder != order.holder) else { continue };
+        let before = orders[..at]
+            .iter()
+            .rev()
+            .find(|other| other.machine == order.machine);
+        let Some(before) = before.filter(|other| other.holder != order.holder) else {
+            continue;
+        };
         // `contact-ms` after its start the added machine is in touch; no other one was disrupted.
-        let in_touch = [before, order].iter().all(|o| o.holder != "front-4" || o.at >= joined + Duration::from_millis(3_000));
+        let in_touch = [before, order]
+            .iter()
+            .all(|o| o.holder != "front-4" || o.at >= joined + Duration::from_millis(3_000));
         let gap = order.at - before.at;
         let text = format!(
             "{} was ordered by {} with token {}, and {} ms later by {} with token {}",
-            order.machine, before.holder, before.token, gap.as_millis(), order.holder, order.token
+            order.machine,
+            before.holder,
+            before.token,
+            gap.as_millis(),
+            order.holder,
+            order.token
         );
         record.line(&format!("{text}; both in touch={in_touch}"));
         if in_touch && worst.as_ref().is_none_or(|(least, _)| gap < *least) {
@@ -372,7 +507,9 @@
         return None;
     }
     Some(match worst {
-        Some((gap, text)) if gap < Duration::from_millis(3_000) => Err(format!("ONE: two holders in touch take turns within `lease-ms`: {text}")),
+        Some((gap, text)) if gap < Duration::from_millis(3_000) => Err(format!(
+            "ONE: two holders in touch take turns within `lease-ms`: {text}"
+        )),
         _ => Ok(()),
     })
 }
@@ -380,13 +517,30 @@
 /// A job of one long task that is due many times at once, beside small jobs: no task fails. With
 /// `trouble` 8,192 times, else 1,000.
 fn turns(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let routes = [route("r-large", "/large/", 2), route("r-small", "/small/", 1)];
-    let world = World::start(root, folder, record.clone(), 3, 48, "00000000000000aa.", &routes, "")?;
+    let routes = [
+        route("r-large", "/large/", 2),
+        route("r-small", "/small/", 1),
+    ];
+    let world = World::start(
+        root,
+        folder,
+        record.clone(),
+        3,
+        48,
+        "00000000000000aa.",
+        &routes,
+        "",
+    )?;
     let large = "/large/00000000000000aa";
-    world.needs.lock().unwrap().insert("00000000000000aa".to_owned(), 300);
+    world
+        .needs
+        .lock()
+        .unwrap()
+        .insert("00000000000000aa".to_owned(), 300);
     let times = if trouble { 8_192 } else { 1_000 };
     let first = crate::record::unix_ms() - times * 1_000;
-    let step = "{\"count\":1,\"cpu\":300,\"mem-mb\":64,\"estimate-ms\":1000,\"checkpointing\":true}";
+    let step =
+        "{\"count\":1,\"cpu\":300,\"mem-mb\":64,\"estimate-ms\":1000,\"checkpointing\":true}";
     let body = format!(
         "{{\"spec\":\"work=8000\",\"steps\":[{step}],\"start-at-ms\":{first},\"interval-ms\":1000,\"repeat-count\":{times}}}"
     );
@@ -399,7 +553,15 @@
     for number in 0..30usize {
         let id = format!("b{number:015x}");
         world.needs.lock().unwrap().insert(id.clone(), 1_000);
-        last = world.call(number % 3, "POST", &format!("/small/{id}"), &body, DEADLINE_MS).0;
+        last = world
+            .call(
+                number % 3,
+                "POST",
+                &format!("/small/{id}"),
+                &body,
+                DEADLINE_MS,
+            )
+            .0;
         record.line(&format!(
             "large job: tasks running={} largest row stored={:?} rows refused={}",
             world.running("00000000000000aa"),
@@ -409,12 +571,27 @@
         sleep(700);
     }
     let refused = world.store.refused.lock().unwrap().len();
-    Some(if last == 200 && refused == 0 { Ok(()) } else { Err(format!("LOST: the last small job is answered {last}; rows refused={refused}")) })
+    Some(if last == 200 && refused == 0 {
+        Ok(())
+    } else {
+        Err(format!(
+            "LOST: the last small job is answered {last}; rows refused={refused}"
+        ))
+    })
 }
 
 /// The runner of a task that lasts is lost for good, and the leader with it.
 fn leader_lost(root: &Path, folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let world = World::start(root, folder, record.clone(), 3, 8, "", &[route("r", "/pule252/", 1)], "")?;
+    let world = World::start(
+        root,
+        folder,
+        record.clone(),
+        3,
+        8,
+        "",
+        &[route("r", "/pule252/", 1)],
+        "",
+    )?;
     sleep(2_000);
     let id = "5c0e7a21d94b36f8";
     let path = format!("/pule252/{id}");
@@ -425,7 +602,10 @@
         return None;
     }
     sleep(4_000);
-    let runner = world.runners.iter().find(|runner| !runner.running().is_empty())?;
+    let runner = world
+        .runners
+        .iter()
+        .find(|runner| !runner.running().is_empty())?;
     runner.set_cut(true);
     runner.crash();
     let lost = Instant::now();
@@ -439,5 +619,9 @@
     }
     let away = lost.elapsed().as_millis();
     record.line(&format!("the task is at work again after {away} ms"));
-    Some(if away <= 9_000 { Ok(()) } else { Err(format!("LOST: a task that lasts has nothing running for {away} ms, from 6 s after its last run for over 3 s")) })
+    Some(if away <= 9_000 {
+        Ok(())
+    } else {
+        Err(format!("LOST: a task that lasts has nothing running for {away} ms, from 6 s after its last run for over 3 s"))
+    })
 }
--- a/review/harness-3/src/cloud.rs
+++ b/review/harness-3/src/cloud.rs
@@ -67,14 +67,22 @@
     }
 
     pub fn set_machines(&self, runners: &[Arc<Runner>]) {
-        let machine = |runner: &Arc<Runner>| Machine { runner: runner.clone(), down_until: None, token: 0, done: Vec::new() };
+        let machine = |runner: &Arc<Runner>| Machine {
+            runner: runner.clone(),
+            down_until: None,
+            token: 0,
+            done: Vec::new(),
+        };
         *self.machines.lock().unwrap() = runners.iter().map(machine).collect();
     }
 
     /// Ends the upkeep of machines whose time has come.
     fn advance(machines: &mut [Machine]) {
         for machine in machines {
-            if machine.down_until.is_some_and(|until| until <= Instant::now()) {
+            if machine
+                .down_until
+                .is_some_and(|until| until <= Instant::now())
+            {
                 machine.down_until = None;
                 machine.runner.restart();
                 machine.runner.set_cut(false);
@@ -94,7 +102,10 @@
             )
         });
         let items: Vec<String> = items.collect();
-        checked(format!("{{\"machines\":[{}],\"next-page-token\":null}}", items.join(",")))
+        checked(format!(
+            "{{\"machines\":[{}],\"next-page-token\":null}}",
+            items.join(",")
+        ))
     }
 
     fn upkeep(&self, request: &http::Request) -> http::Response {
@@ -102,15 +113,39 @@
             return (400, Vec::new());
         };
         let (id, wave) = (body.text("machine"), body.number("wave"));
-        let holder = request.header("Trefoilgauge-Lease-Holder").unwrap_or_default().to_owned();
-        let token = request.header("Trefoilgauge-Fencing-Token").and_then(|t| t.parse().ok()).unwrap_or(0);
-        self.orders.lock().unwrap().push(Order { at: Instant::now(), machine: id.clone(), holder: holder.clone(), token });
+        let holder = request
+            .header("Trefoilgauge-Lease-Holder")
+            .unwrap_or_default()
+            .to_owned();
+        let token = request
+            .header("Trefoilgauge-Fencing-Token")
+            .and_then(|t| t.parse().ok())
+            .unwrap_or(0);
+        self.orders.lock().unwrap().push(Order {
+            at: Instant::now(),
+            machine: id.clone(),
+            holder: holder.clone(),
+            token,
+        });
         let mut machines = self.machines.lock().unwrap();
         Self::advance(&mut machines);
-        let answer = match machines.iter_mut().enumerate().find(|(at, _)| name(*at) == id) {
+        let answer = match machines
+            .iter_mut()
+            .enumerate()
+            .find(|(at, _)| name(*at) == id)
+        {
             None => (400, ""),
             Some((_, machine)) if token < machine.token => (409, "fence"),
-            Some(_) if !self.waves.lock().unwrap().get(&wave).is_some_and(|all| all.contains(&id)) => (409, "wave"),
+            Some(_)
+                if !self
+                    .waves
+                    .lock()
+                    .unwrap()
+                    .get(&wave)
+                    .is_some_and(|all| all.contains(&id)) =>
+            {
+                (409, "wave")
+            }
             Some((_, machine)) => {
                 machine.token = token;
                 if machine.done.contains(&wave) {
@@ -126,7 +161,13 @@
                 }
             }
         };
-        self.record.line(&format!("platform gets upkeep machine={id} wave={wave} holder={holder} token={token}: {} {}", answer.0, answer.1));
-        (answer.0, format!("{{\"reason\":\"{}\"}}", answer.1).into_bytes())
+        self.record.line(&format!(
+            "platform gets upkeep machine={id} wave={wave} holder={holder} token={token}: {} {}",
+            answer.0, answer.1
+        ));
+        (
+            answer.0,
+            format!("{{\"reason\":\"{}\"}}", answer.1).into_bytes(),
+        )
     }
 }
--- a/review/harness-3/src/http.rs
+++ b/review/harness-3/src/http.rs
@@ -25,7 +25,10 @@
     }
 
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(k, _)| k.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(k, _)| k.eq_ignore_ascii_case(name));
         found.map(|(_, v)| v.as_str())
     }
 }
@@ -50,10 +53,14 @@
 
 fn connection(stream: TcpStream, handler: &Handler) {
     let _ = stream.set_nodelay(true);
-    let Ok(mut out) = stream.try_clone() else { return };
+    let Ok(mut out) = stream.try_clone() else {
+        return;
+    };
     let mut input = BufReader::with_capacity(64 * 1024, stream);
     while let Some(request) = read_request(&mut input) {
-        let Some((status, body)) = handler(&request) else { return };
+        let Some((status, body)) = handler(&request) else {
+            return;
+        };
         let head = format!(
             "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
             body.len()
@@ -71,7 +78,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
@@ -107,7 +116,9 @@
 }
 
 fn length(headers: &[(String, String)]) -> Option<usize> {
-    let found = headers.iter().find(|(k, _)| k.eq_ignore_ascii_case("content-length"));
+    let found = headers
+        .iter()
+        .find(|(k, _)| k.eq_ignore_ascii_case("content-length"));
     found.and_then(|(_, v)| v.parse().ok())
 }
 
@@ -121,7 +132,13 @@
     let query = query.map(|(k, v)| (k.to_owned(), decode(v))).collect();
     let mut body = vec![0; length(&headers).unwrap_or(0)];
     input.read_exact(&mut body).ok()?;
-    Some(Request { method, path: path.to_owned(), query, headers, body })
+    Some(Request {
+        method,
+        path: path.to_owned(),
+        query,
+        headers,
+        body,
+    })
 }
 
 /// Sends a request on a new connection, and reads the response.
@@ -141,13 +158,20 @@
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
-    head.push_str(&format!("Content-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len()));
+    head.push_str(&format!(
+        "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    ));
     let mut whole = head.into_bytes();
     whole.extend(body);
     stream.write_all(&whole).map_err(text)?;
     let mut input = BufReader::new(stream);
     let (first, headers) = read_headers(&mut input).ok_or("no response")?;
-    let status = first.split(' ').nth(1).and_then(|s| s.parse().ok()).ok_or("no status")?;
+    let status = first
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .ok_or("no status")?;
     let mut body = vec![0; length(&headers).unwrap_or(0)];
     input.read_exact(&mut body).map_err(text)?;
     Ok((status, body))
--- a/review/harness-3/src/json.rs
+++ b/review/harness-3/src/json.rs
@@ -35,7 +35,10 @@
 }
 
 pub fn parse(text: &str) -> Option<Json> {
-    let mut p = Parser { b: text.as_bytes(), at: 0 };
+    let mut p = Parser {
+        b: text.as_bytes(),
+        at: 0,
+    };
     let value = p.value()?;
     p.space();
     (p.at == p.b.len()).then_some(value)
@@ -112,7 +115,11 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.b.get(self.at).is_some_and(|c| b"+-.eE0123456789".contains(c)) {
+                while self
+                    .b
+                    .get(self.at)
+                    .is_some_and(|c| b"+-.eE0123456789".contains(c))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.b[start..self.at]).ok()?;
@@ -142,7 +149,8 @@
                         b'b' => out.push(8),
                         b'f' => out.push(12),
                         b'u' => {
-                            let hex = std::str::from_utf8(self.b.get(self.at..self.at + 4)?).ok()?;
+                            let hex =
+                                std::str::from_utf8(self.b.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             let code = u32::from_str_radix(hex, 16).ok()?;
                             let c = char::from_u32(code).unwrap_or('?');
--- a/review/harness-3/src/record.rs
+++ b/review/harness-3/src/record.rs
@@ -38,5 +38,7 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
 }
--- a/review/harness-3/src/runner.rs
+++ b/review/harness-3/src/runner.rs
@@ -9,18 +9,18 @@
 use crate::http::Response;
 use crate::json;
 use crate::json::Json;
-use crate::record::Record;
 use crate::record::unix_ms;
-use crate::store::Store;
+use crate::record::Record;
 use crate::store::checked;
+use crate::store::Store;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -77,7 +77,15 @@
 
 impl Runner {
     /// Starts a runner, its heartbeat and its clock.
-    pub fn start(id: &str, cpu: u64, rack: &str, store: &Arc<Store>, record: &Arc<Record>, needs: &Needs, quiet: &'static str) -> Arc<Self> {
+    pub fn start(
+        id: &str,
+        cpu: u64,
+        rack: &str,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+        needs: &Needs,
+        quiet: &'static str,
+    ) -> Arc<Self> {
         let runner = Arc::new(Self {
             id: id.to_owned(),
             addr: Mutex::default(),
@@ -147,7 +155,8 @@
 
     /// Cuts it off, or ends that.
     pub fn set_cut(&self, cut: bool) {
-        self.record.line(&format!("runner {} cut off={cut}", self.id));
+        self.record
+            .line(&format!("runner {} cut off={cut}", self.id));
         self.cut.store(cut, Ordering::Relaxed);
     }
 
@@ -155,7 +164,10 @@
     pub fn crash(&self) {
         let mut state = self.state.lock().unwrap();
         let tasks: Vec<&String> = state.running.keys().collect();
-        self.record.line(&format!("runner {} crashes; running there: {tasks:?}", self.id));
+        self.record.line(&format!(
+            "runner {} crashes; running there: {tasks:?}",
+            self.id
+        ));
         *state = State::default();
     }
 
@@ -163,7 +175,11 @@
     pub fn restart(&self) {
         *self.born.lock().unwrap() = (unix_ms(), Instant::now());
         *self.state.lock().unwrap() = State::default();
-        self.record.line(&format!("runner {} starts again born={}", self.id, self.born()));
+        self.record.line(&format!(
+            "runner {} starts again born={}",
+            self.id,
+            self.born()
+        ));
     }
 
     /// Leaves the first order to start a task of `job` without an answer, until it is carried out.
@@ -179,7 +195,9 @@
     /// Carries out the order that was left without an answer, whichever process is there now; returns
     /// whether there was one.
     pub fn carry_out_late(&self) -> bool {
-        let Some(body) = self.late.lock().unwrap().1.take() else { return false };
+        let Some(body) = self.late.lock().unwrap().1.take() else {
+            return false;
+        };
         let (status, answer) = self.run_start(&body);
         self.record.line(&format!(
             "runner {} carries out the late order task={} run={}: {status} {}",
@@ -207,7 +225,11 @@
     /// The tasks that run now, by name and run.
     pub fn running(&self) -> Vec<(String, u64)> {
         let state = self.state.lock().unwrap();
-        state.running.iter().map(|(task, run)| (task.clone(), run.number)).collect()
+        state
+            .running
+            .iter()
+            .map(|(task, run)| (task.clone(), run.number))
+            .collect()
     }
 
     fn tick(&self) {
@@ -232,28 +254,50 @@
     }
 
     fn end(&self, state: &mut State, task: &str, how: &'static str) {
-        let Some(run) = state.running.remove(task) else { return };
+        let Some(run) = state.running.remove(task) else {
+            return;
+        };
         state.highest.insert(task.to_owned(), run.number);
         state.last_end += 1;
         let number = state.last_end;
         if self.records(task) {
-            self.record.line(&format!("runner {} ended task={task} run={} {how}", self.id, run.number));
+            self.record.line(&format!(
+                "runner {} ended task={task} run={} {how}",
+                self.id, run.number
+            ));
         }
-        state.ends.push((number, task.to_owned(), run.number, how, run.saved));
+        state
+            .ends
+            .push((number, task.to_owned(), run.number, how, run.saved));
         self.ended.notify_all();
     }
 
     fn answer(&self, request: &Request) -> Option<Response> {
-        if request.header("Trefoilgauge-Expected-Instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("Trefoilgauge-Expected-Instance")
+            .is_some_and(|id| id != self.id)
+        {
             return Some((421, self.clocked("")));
         }
         let body = String::from_utf8_lossy(&request.body).into_owned();
-        let Some(body) = json::parse(&body) else { return Some((400, Vec::new())) };
+        let Some(body) = json::parse(&body) else {
+            return Some((400, Vec::new()));
+        };
         if request.path == "/api/run-start" {
             let mut late = self.late.lock().unwrap();
-            let job = body.text("task").split('.').next().unwrap_or_default().to_owned();
+            let job = body
+                .text("task")
+                .split('.')
+                .next()
+                .unwrap_or_default()
+                .to_owned();
             if late.0 == job && late.1.is_none() {
-                self.record.line(&format!("runner {} leaves the order to start task={} run={} unanswered", self.id, body.text("task"), body.number("run")));
+                self.record.line(&format!(
+                    "runner {} leaves the order to start task={} run={} unanswered",
+                    self.id,
+                    body.text("task"),
+                    body.number("run")
+                ));
                 *late = (String::new(), Some(body));
                 drop(late);
                 std::thread::sleep(Duration::from_secs(12));
@@ -278,7 +322,11 @@
     }
 
     fn run_start(&self, body: &Json) -> Response {
-        let (task, number, token) = (body.text("task"), body.number("run"), body.number("fencing-token"));
+        let (task, number, token) = (
+            body.text("task"),
+            body.number("run"),
+            body.number("fencing-token"),
+        );
         let mut state = self.state.lock().unwrap();
         if token < state.fence {
             return self.refuse("fence");
@@ -290,7 +338,11 @@
             return self.refuse("late");
         }
         state.until = state.until.max(until);
-        if state.running.get(&task).is_some_and(|run| run.number == number) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|run| run.number == number)
+        {
             return (200, self.clocked(""));
         }
         let highest = state.highest.get(&task).copied().unwrap_or(0);
@@ -298,11 +350,22 @@
             return self.refuse("old");
         }
         if let Some((tickets, valid_ms)) = &*self.tickets.lock().unwrap() {
-            let step = task.rsplit_once('.').map_or(task.as_str(), |(step, _)| step).to_owned();
+            let step = task
+                .rsplit_once('.')
+                .map_or(task.as_str(), |(step, _)| step)
+                .to_owned();
             let known = body.text("ticket") == advisor::ticket(&step, &self.id);
-            let given = tickets.lock().unwrap().get(&(step, self.id.clone())).copied();
-            if !known || !given.is_some_and(|at| at.elapsed().as_millis() <= u128::from(*valid_ms)) {
-                self.record.line(&format!("runner {} rejects task={task} run={number}: ticket", self.id));
+            let given = tickets
+                .lock()
+                .unwrap()
+                .get(&(step, self.id.clone()))
+                .copied();
+            if !known || !given.is_some_and(|at| at.elapsed().as_millis() <= u128::from(*valid_ms))
+            {
+                self.record.line(&format!(
+                    "runner {} rejects task={task} run={number}: ticket",
+                    self.id
+                ));
                 return self.refuse("ticket");
             }
         }
@@ -315,32 +378,49 @@
         let spec = body.text("spec");
         let word = |key: &str| {
             let found = spec.split(' ').find_map(|word| word.strip_prefix(key));
-            found.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0)
+            found
+                .and_then(|value| value.parse::<u64>().ok())
+                .unwrap_or(0)
         };
         let fails = number <= word("fail=");
         let run = Run {
             number,
             since: Instant::now(),
-            work_ms: if fails { word("failms=") } else { word("work=") },
+            work_ms: if fails {
+                word("failms=")
+            } else {
+                word("work=")
+            },
             fails,
             cpu,
             saved: body.text("checkpoint"),
         };
         if self.records(&task) {
-            self.record.line(&format!("runner {} started task={task} run={number} token={token}", self.id));
+            self.record.line(&format!(
+                "runner {} started task={task} run={number} token={token}",
+                self.id
+            ));
         }
         state.running.insert(task, run);
         (200, self.clocked(""))
     }
 
     fn run_stop(&self, body: &Json) -> Response {
-        let (task, number, token) = (body.text("task"), body.number("run"), body.number("fencing-token"));
+        let (task, number, token) = (
+            body.text("task"),
+            body.number("run"),
+            body.number("fencing-token"),
+        );
         let mut state = self.state.lock().unwrap();
         if token < state.fence {
             return self.refuse("fence");
         }
         state.fence = token;
-        if state.running.get(&task).is_some_and(|run| run.number == number) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|run| run.number == number)
+        {
             self.end(&mut state, &task, "stopped");
         }
         let highest = state.highest.entry(task).or_default();
@@ -372,15 +452,26 @@
             .iter()
             .map(|(task, run)| {
                 let worked = run.since.elapsed().as_millis() as u64;
-                let percent = if run.work_ms == 0 { 100 } else { (worked * 100 / run.work_ms).min(99) };
-                format!("[\"{task}\",{},\"{}\",{percent},{}]", run.number, run.saved, run.cpu / 1_000)
+                let percent = if run.work_ms == 0 {
+                    100
+                } else {
+                    (worked * 100 / run.work_ms).min(99)
+                };
+                format!(
+                    "[\"{task}\",{},\"{}\",{percent},{}]",
+                    run.number,
+                    run.saved,
+                    run.cpu / 1_000
+                )
             })
             .collect();
         let ends: Vec<String> = state
             .ends
             .iter()
             .take(500)
-            .map(|(n, task, run, how, saved)| format!("[{n},\"{task}\",{run},\"{how}\",\"{saved}\"]"))
+            .map(|(n, task, run, how, saved)| {
+                format!("[{n},\"{task}\",{run},\"{how}\",\"{saved}\"]")
+            })
             .collect();
         let more = format!(
             ",\"born\":{},\"running\":[{}],\"ended-runs\":[{}]",
--- a/review/harness-3/src/store.rs
+++ b/review/harness-3/src/store.rs
@@ -111,14 +111,21 @@
             return (400, b"{\"error\":\"the call is too large\"}".to_vec());
         }
         let _turn = self.appends.lock().unwrap();
-        std::thread::sleep(APPEND + Duration::from_secs_f64(request.body.len() as f64 / APPEND_BYTES_S));
+        std::thread::sleep(
+            APPEND + Duration::from_secs_f64(request.body.len() as f64 / APPEND_BYTES_S),
+        );
         let mut topics = self.topics.lock().unwrap();
         let topic = topics.entry(name).or_default();
         let end = topic.end();
         if request.query("at").is_some_and(|at| at.parse() != Ok(end)) {
             return (412, format!("{{\"end\":{end}}}").into_bytes());
         }
-        let number = |key| request.query(key).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+        let number = |key| {
+            request
+                .query(key)
+                .and_then(|v| v.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         if let Some(producer) = request.query("producer") {
             let (epoch, sequence) = (number("epoch"), number("sequence"));
             let known = topic.producers.entry(producer.to_owned()).or_default();
@@ -131,7 +138,10 @@
             }
             if !records.is_empty() {
                 if let Some((_, offset, end)) = known.last.iter().find(|l| l.0 == sequence) {
-                    return (200, format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes());
+                    return (
+                        200,
+                        format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes(),
+                    );
                 }
                 if let Some((last, ..)) = known.last.last().filter(|l| l.0 + 1 != sequence) {
                     let text = format!("{{\"reason\":\"seq\",\"sequence\":{}}}", last + 1);
@@ -160,7 +170,12 @@
 
     fn read(&self, request: &Request) -> Response {
         std::thread::sleep(READ);
-        let number = |key| request.query(key).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+        let number = |key| {
+            request
+                .query(key)
+                .and_then(|v| v.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         let (from, wait) = (number("from"), number("wait-ms").min(30_000));
         let limit = number("max-kb").clamp(1, 1_024) as usize * 1_024;
         let name = request.query("topic").unwrap_or_default();
@@ -211,7 +226,11 @@
             bytes += item.len();
             items.push(item);
         }
-        let text = format!("{{\"items\":[{}],\"more\":{more},\"end\":{}}}", items.join(","), topic.end());
+        let text = format!(
+            "{{\"items\":[{}],\"more\":{more},\"end\":{}}}",
+            items.join(","),
+            topic.end()
+        );
         drop(topics);
         std::thread::sleep(Duration::from_secs_f64(bytes as f64 / READ_BYTES_S));
         (200, text.into_bytes())
@@ -245,7 +264,11 @@
     }
     let now = Instant::now();
     topic.records.push((now, Arc::new(record)));
-    let old = topic.records.iter().take_while(|(at, _)| now - *at > KEEP).count();
+    let old = topic
+        .records
+        .iter()
+        .take_while(|(at, _)| now - *at > KEEP)
+        .count();
     topic.records.drain(..old);
     topic.first += old as u64;
 }
@@ -254,7 +277,9 @@
     const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::with_capacity(bytes.len() * 4 / 3 + 4);
     for part in bytes.chunks(3) {
-        let word = part.iter().fold(0u32, |word, byte| word << 8 | u32::from(*byte));
+        let word = part
+            .iter()
+            .fold(0u32, |word, byte| word << 8 | u32::from(*byte));
         let word = word << (8 * (3 - part.len()));
         for at in 0..4 {
             let sign = SIGNS[(word >> (18 - 6 * at)) as usize & 63];
--- a/review/harness-3/src/vm.rs
+++ b/review/harness-3/src/vm.rs
@@ -8,12 +8,11 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::sync::Mutex;
 use std::time::Duration;
 
-
 pub struct Vm {
     pub name: String,
     pub callers: SocketAddr,
@@ -43,7 +42,14 @@
 impl Vm {
     /// Starts a process with the settings of `deploy/vm.jsonc.template`, filled in as for a machine
     /// of `sites/arena-juicio.toml`. `more` are further settings that the template has.
-    pub fn start(root: &Path, folder: &Path, name: &str, store: SocketAddr, cpu_share: f64, more: &str) -> Self {
+    pub fn start(
+        root: &Path,
+        folder: &Path,
+        name: &str,
+        store: SocketAddr,
+        cpu_share: f64,
+        more: &str,
+    ) -> Self {
         let ports = free(4);
         let text = format!(
             "{{\"vm\":\"{name}\",\"centre\":\"z\",\"cpu_share\":{cpu_share},\"callers\":\"{}\",\"ready\":\"{}\",\"peers\":\"{}\",\"metrics\":\"{}\",\"store\":\"{store}\",{more}\"upkeep_s\":2,\"grace_s\":6,\"strict_revocation\":true,\"revoke_ms\":5000,\"config_apply_ms\":2000,\"max_lease_ms\":6000,\"stop_ms\":200,\"keep_s\":120,\"restore_ms\":600,\"duration_percentile\":0,\"reclaim_ms\":2700}}",
@@ -65,7 +71,11 @@
     }
 
     pub fn spawn(&self) {
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log).expect("a log");
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log");
         let child = Command::new(&self.program)
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -89,7 +99,15 @@
 
     pub fn is_ready(&self) -> bool {
         let limit = Duration::from_millis(500);
-        http::call(self.ready, "GET", "/api/ready", &[("Host", "ready")], b"", limit).is_ok_and(|r| r.0 == 200)
+        http::call(
+            self.ready,
+            "GET",
+            "/api/ready",
+            &[("Host", "ready")],
+            b"",
+            limit,
+        )
+        .is_ok_and(|r| r.0 == 200)
     }
 
     /// Whether its log shows that it took the lead last of all that did.
@@ -99,14 +117,20 @@
             let mut led = None;
             for line in log.lines() {
                 if let Some((_, rest)) = line.split_once("TG1307 leading epoch=") {
-                    led = rest.split(' ').next().and_then(|e| e.trim().parse::<u64>().ok());
+                    led = rest
+                        .split(' ')
+                        .next()
+                        .and_then(|e| e.trim().parse::<u64>().ok());
                 } else if line.contains("TG1308 ") {
                     led = None;
                 }
             }
             led
         };
-        let all = vms.iter().enumerate().filter_map(|(at, vm)| Some((epoch(vm)?, at)));
+        let all = vms
+            .iter()
+            .enumerate()
+            .filter_map(|(at, vm)| Some((epoch(vm)?, at)));
         all.max().map(|(_, at)| at)
     }
 }
--- a/review/harness-3/src/world.rs
+++ b/review/harness-3/src/world.rs
@@ -6,8 +6,8 @@
 use crate::record::Record;
 use crate::runner::Needs;
 use crate::runner::Runner;
-use crate::store::Store;
 use crate::store::checked;
+use crate::store::Store;
 use crate::vm::Vm;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -57,16 +57,53 @@
 
 impl World {
     /// Starts everything, and waits until each machine is ready; none if that takes too long.
-    pub fn start(root: &Path, folder: &Path, record: Arc<Record>, vms: usize, runners: usize, quiet: &'static str, routes: &[String], more: &str) -> Option<Self> {
+    pub fn start(
+        root: &Path,
+        folder: &Path,
+        record: Arc<Record>,
+        vms: usize,
+        runners: usize,
+        quiet: &'static str,
+        routes: &[String],
+        more: &str,
+    ) -> Option<Self> {
         let (store, addr) = Store::start();
         store.put("keyed.op", "config", &config(1, routes));
         record.line("operator writes config version=1");
         let needs = Needs::default();
         let runners = (0..runners)
-            .map(|at| Runner::start(&format!("i-{at:04x}"), 128_000, &format!("r1-{}", at / 8), &store, &record, &needs, quiet))
+            .map(|at| {
+                Runner::start(
+                    &format!("i-{at:04x}"),
+                    128_000,
+                    &format!("r1-{}", at / 8),
+                    &store,
+                    &record,
+                    &needs,
+                    quiet,
+                )
+            })
             .collect();
-        let vms: Vec<Vm> = (0..vms).map(|at| Vm::start(root, folder, &format!("front-{}", at + 1), addr, CPU_SHARE, more)).collect();
-        let world = Self { record, store, store_addr: addr, runners, vms, needs };
+        let vms: Vec<Vm> = (0..vms)
+            .map(|at| {
+                Vm::start(
+                    root,
+                    folder,
+                    &format!("front-{}", at + 1),
+                    addr,
+                    CPU_SHARE,
+                    more,
+                )
+            })
+            .collect();
+        let world = Self {
+            record,
+            store,
+            store_addr: addr,
+            runners,
+            vms,
+            needs,
+        };
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
             if world.vms.iter().all(Vm::is_ready) && Vm::leads(&world.vms).is_some() {
@@ -79,8 +116,23 @@
     }
 
     /// Sends a call to a machine; returns the status, 0 without a response, and the body.
-    pub fn call(&self, vm: usize, method: &str, path: &str, body: &str, limit_ms: u64) -> (u16, String) {
-        call(&self.record, &self.vms[vm].name, self.vms[vm].callers, method, path, body, limit_ms)
+    pub fn call(
+        &self,
+        vm: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+        limit_ms: u64,
+    ) -> (u16, String) {
+        call(
+            &self.record,
+            &self.vms[vm].name,
+            self.vms[vm].callers,
+            method,
+            path,
+            body,
+            limit_ms,
+        )
     }
 
     /// The state of a job as a machine shows it; the status as a text if that is not 200.
@@ -100,15 +152,37 @@
     }
 }
 
-pub fn call(record: &Record, name: &str, addr: SocketAddr, method: &str, path: &str, body: &str, limit_ms: u64) -> (u16, String) {
+pub fn call(
+    record: &Record,
+    name: &str,
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    limit_ms: u64,
+) -> (u16, String) {
     let deadline = limit_ms.to_string();
-    let headers = [("Host", HOST), ("Api-Key", KEY), ("Trefoilgauge-Request-Deadline", deadline.as_str()), ("Connection", "close")];
+    let headers = [
+        ("Host", HOST),
+        ("Api-Key", KEY),
+        ("Trefoilgauge-Request-Deadline", deadline.as_str()),
+        ("Connection", "close"),
+    ];
     let sent = record.seconds();
-    let answer = http::call(addr, method, path, &headers, body.as_bytes(), Duration::from_millis(limit_ms));
+    let answer = http::call(
+        addr,
+        method,
+        path,
+        &headers,
+        body.as_bytes(),
+        Duration::from_millis(limit_ms),
+    );
     let (status, body) = match answer {
         Ok((status, body)) => (status, String::from_utf8_lossy(&body).into_owned()),
         Err(error) => (0, error),
     };
-    record.line(&format!("client {method} {path} to {name} sent at {sent:.3}: {status} {body}"));
+    record.line(&format!(
+        "client {method} {path} to {name} sent at {sent:.3}: {status} {body}"
+    ));
     (status, body)
 }
