fix(fleet): calls by the path of a removed nested queue are answered 404

What callers saw: a queue whose prefix begins with that of another one was removed. GET of its accepted jobs was answered 410 by all VMs while their tasks ran (LOST), and DELETE 410 while nothing was cancelled (UNASKED).

Cause: the path then selects the queue with the shorter prefix. What is left of it is no job ID, and State and Cancel of anything that is no job ID were answered as of a job that does not exist.

Change: such a path is answered as any whose queue is not configured, before its key is looked at, and TG1214 says so. A malformed ID right below a prefix is still refused with 400 on POST. Nothing is looked up by the rest of the path, so a removed queue cannot act.

No call to upstreams, store or advice is added.

--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -21,6 +21,9 @@
 /// The `Retry-After` for a job whose stored state cannot be decoded, in milliseconds.
 const UNREADABLE_WAIT_MS: u64 = 10_000;
 
+/// The length of a job's id, in hexadecimal digits.
+const JOB_ID_LEN: usize = 16;
+
 /// The queue of a call, the workspace of its key, and the rest of its path.
 type Routed = (Arc<Queue>, Option<Arc<Workspace>>, String);
 
@@ -52,6 +55,9 @@
     }
 
     /// Finds the queue and the workspace of a call, or returns the reply that refuses it.
+    ///
+    /// A path whose own queue is not configured may still begin with the shorter prefix of another
+    /// one. What is left of it is no job there, so it must not be reported as a job that is gone.
     fn route(&self, what: &Call) -> Result<Routed, Reply> {
         let Some(config) = &self.config else {
             return Err(Reply::Unavailable {
@@ -61,6 +67,21 @@
         let Some((queue, rest)) = config.route(&what.host, &what.path) else {
             return Err(Reply::NoQueue);
         };
+        if !rest.is_empty() && !is_job_id(rest) {
+            let submits = matches!(
+                what.operation,
+                Operation::Submit(_) | Operation::Malformed(_)
+            );
+            if !submits || is_nested(rest) {
+                log::info!(
+                    "TG1214 call path={} not found: {rest:?} is no job of queue={} config={}",
+                    what.path,
+                    queue.name,
+                    config.version
+                );
+                return Err(Reply::NoQueue);
+            }
+        }
         let workspace = config.keys.get(&what.key).cloned();
         if workspace.is_none() && !queue.public {
             return Err(Reply::BadKey);
@@ -76,12 +97,7 @@
             };
         }
         if !is_job_id(&rest) {
-            return match what.operation {
-                Operation::Submit(_) | Operation::Malformed(_) => {
-                    Reply::Bad(format!("job {rest:?} is not 16 hexadecimal digits"))
-                }
-                Operation::State | Operation::Cancel => Reply::Gone,
-            };
+            return Reply::Bad(format!("job {rest:?} is not 16 hexadecimal digits"));
         }
         let id = Name::from(rest);
         if self.unreadable.contains(&id) {
@@ -219,5 +235,11 @@
 }
 
 fn is_job_id(text: &str) -> bool {
-    text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+    text.len() == JOB_ID_LEN && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
+/// Returns whether what follows a prefix is a path of its own, and not a malformed job id.
+fn is_nested(rest: &str) -> bool {
+    let last = rest.len().checked_sub(JOB_ID_LEN);
+    rest.contains('/') || last.and_then(|at| rest.get(at..)).is_some_and(is_job_id)
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -26,6 +26,7 @@
 mod reservations;
 mod reserved;
 mod restarts;
+mod routes;
 mod shares;
 mod speed;
 mod stale;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -367,14 +367,24 @@
         id: u64,
         operation: Operation,
     ) -> Option<Reply> {
-        self.calls += 1;
-        let call = self.calls;
         if queue == "guarded" {
             self.guarded.insert(format!("{id:016x}").into());
         }
+        self.call_path(&format!("/{queue}/{id:016x}"), key, operation)
+    }
+
+    /// Makes a call by its path and returns the reply, if it is immediate.
+    pub(crate) fn call_path(
+        &mut self,
+        path: &str,
+        key: &str,
+        operation: Operation,
+    ) -> Option<Reply> {
+        self.calls += 1;
+        let call = self.calls;
         let what = Call {
             host: "host".to_owned(),
-            path: format!("/{queue}/{id:016x}"),
+            path: path.to_owned(),
             key: key.to_owned(),
             operation,
             nonce: 0,
