fix(fleet): tickets of advice count from the service's decision

Cause: a ticket was believed valid from when the call was sent, less 300 ms. A call about 44 upstreams takes 2.7 s and its tickets are valid for 3 s, so each one was expired when it arrived; the same question was asked again without end.

So it counts from the call's own time at the service, not from its sending, and not from its arrival: a response that was long on its way may be old. If that leaves no time, the tickets are tried for 400 ms all the same: asking again would cost as much and gain nothing. What a too hopeful belief costs is a rejected start, which is priced.

The test failed before ("left: Some(Queued) right: Some(Completed)").

After: the test passes with at most 3 calls and no rejected start.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -4,6 +4,7 @@
 //! after the other. So the most urgent step asks first, about no more upstreams than it is likely
 //! to need.
 
+use super::decide::advise;
 use super::effect::Effect;
 use super::event::Advised;
 use super::model::Step;
@@ -21,9 +22,6 @@
 /// The number of upstreams to ask about beyond those that are needed, since some may not be
 /// allowed.
 const SPARE_ASKED: usize = 2;
-/// How long before its expiry a ticket is no longer used, in milliseconds: the order that carries
-/// it must arrive in time.
-const TICKET_SLACK_MS: u64 = 300;
 /// The wait before the next call after one without a response, in milliseconds.
 const RETRY_MS: u64 = 300;
 
@@ -40,8 +38,9 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct AdviceCache {
     steps: BTreeMap<StepId, HashMap<Name, Verdict>>,
-    /// When the call in progress was sent, local clock.
-    asked_at: Option<u64>,
+    /// When the call in progress was sent, local clock, and how long the service takes for it, in
+    /// milliseconds.
+    asked: Option<(u64, u64)>,
     /// When the next call may be sent, local clock.
     next_ask: u64,
 }
@@ -90,7 +89,7 @@
     }
 
     fn may_ask(&self, now: u64) -> bool {
-        self.asked_at.is_none() && now >= self.next_ask
+        self.asked.is_none() && now >= self.next_ask
     }
 }
 
@@ -136,11 +135,12 @@
             id.step,
             now.saturating_sub(wait.since)
         );
-        self.advice.asked_at = Some(now);
+        let call_ms = advice.call_ms(count);
+        self.advice.asked = Some((now, call_ms));
         self.out.immediate.push(Effect::Advise {
             step: id,
             upstreams,
-            call_ms: advice.call_ms(count),
+            call_ms,
         });
     }
 
@@ -200,7 +200,7 @@
         asked: &[Name],
         answer: Option<Advised>,
     ) {
-        let sent = self.advice.asked_at.take().unwrap_or(now);
+        let (sent, call_ms) = self.advice.asked.take().unwrap_or((now, 0));
         log::info!(
             "TG1611 job={} turn={} step={} asked={} good={:?} after_ms={}",
             step.job,
@@ -222,7 +222,7 @@
         for name in asked {
             known.insert(name.clone(), Verdict::Bad);
         }
-        let until = (sent + answer.valid_ms).saturating_sub(TICKET_SLACK_MS);
+        let until = advise::usable_until(sent, call_ms, now, answer.valid_ms);
         for (name, ticket) in answer.eligible {
             known.insert(name, Verdict::Good(ticket, until));
         }
--- /dev/null
+++ b/src/fleet/decide/advise.rs
@@ -0,0 +1,20 @@
+//! For how long the tickets of a call for advice are used.
+
+/// How long before its expiry a ticket is no longer used, in milliseconds: the order that carries
+/// it must arrive in time.
+const TICKET_SLACK_MS: u64 = 300;
+/// How long a ticket is used at least, in milliseconds: longer than the pause between two planning
+/// passes. A response can take longer than its tickets are valid by the time of the call; whether
+/// it was decided late or delivered late, asking again would gain nothing.
+const MIN_USE_MS: u64 = 400;
+
+/// Returns until when the tickets of a response may be used (local clock), for a call that was sent
+/// at `sent`, takes `call_ms` at the service, and was answered at `now`.
+///
+/// A ticket is valid from the decision on. The service takes `call_ms` to decide, so that the
+/// decision is not older than `sent + call_ms`, however long the response was on its way.
+pub(in crate::fleet) fn usable_until(sent: u64, call_ms: u64, now: u64, valid_ms: u64) -> u64 {
+    let decided = now.min(sent.saturating_add(call_ms));
+    let until = decided.saturating_add(valid_ms.saturating_sub(TICKET_SLACK_MS));
+    until.max(now + valid_ms.min(MIN_USE_MS))
+}
--- a/src/fleet/decide/mod.rs
+++ b/src/fleet/decide/mod.rs
@@ -4,6 +4,7 @@
 //! effects.
 
 pub(super) mod admit;
+pub(super) mod advise;
 pub(super) mod crash;
 pub(super) mod evict;
 pub(super) mod learn;
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -6,7 +6,11 @@
 use trefoilgauge::fleet::event::Operation;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::event::Reply;
+use trefoilgauge::fleet::model::Advice;
+use trefoilgauge::fleet::model::Config;
+use trefoilgauge::fleet::model::Queue;
 use trefoilgauge::fleet::model::Step;
+use trefoilgauge::prelude::*;
 
 /// Creates a world in which every third upstream is allowed.
 fn world(racks: u32, each: u32) -> World {
@@ -53,7 +57,7 @@
     world.pass(11_000);
     assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
     assert_eq!(world.unadvised, 0);
-    assert!(world.advisor.asked.len() >= 2);
+    assert!(world.advisor.calls.len() >= 2);
 }
 
 #[test]
@@ -63,8 +67,8 @@
     world.submit("guarded", "key-a", 1, vec![step(1, 1, 1_000)]);
     world.pass(2_000);
     assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
-    assert_eq!(world.advisor.asked.len(), 1);
-    assert_eq!(world.advisor.asked[0].len(), 4);
+    assert_eq!(world.advisor.calls.len(), 1);
+    assert_eq!(world.advisor.calls[0].1.len(), 4);
 }
 
 #[test]
@@ -81,7 +85,7 @@
     }
     world.submit("guarded", "key-a", 3, vec![gang(2, 8, 1_000)]);
     world.pass(1_000);
-    let first = &world.advisor.asked[0][..4];
+    let first = &world.advisor.calls[0].1[..4];
     assert!(
         first.iter().all(|name| name.starts_with("u-0")),
         "{first:?}"
@@ -126,8 +130,43 @@
     world.pass(30);
     world.call("guarded", "key-a", 1, Operation::Cancel);
     world.pass(500);
-    let asked = world.advisor.asked.len();
+    let asked = world.advisor.calls.len();
     world.pass(5_000);
-    assert_eq!(world.advisor.asked.len(), asked);
+    assert_eq!(world.advisor.calls.len(), asked);
     assert_eq!(world.begun.len(), 0);
 }
+
+/// Changes the queue that needs advice.
+fn change_guarded(config: &mut Config, change: impl FnOnce(&mut Queue)) {
+    let queue = config.queues.iter_mut();
+    let queue = queue.into_iter().find(|queue| &*queue.name == "guarded");
+    change(Arc::make_mut(queue.unwrap()));
+}
+
+/// Creates a world whose service allows all upstreams, and takes 0.5 s and 50 ms for each of them.
+fn slow_world(racks: u32, each: u32) -> World {
+    let mut world = World::new(racks, each);
+    world.advisor.good = world.upstreams.keys().cloned().collect();
+    world.advisor.decide_ms = 500;
+    world.advisor.each_ms = 50;
+    let advice = Advice {
+        decide_ms: 500,
+        each_ms: 50,
+    };
+    world.configure(|config| change_guarded(config, |queue| queue.advice = Some(advice)));
+    world
+}
+
+/// Guards against tickets that count as expired on arrival, as their call took long.
+#[test]
+fn a_step_starts_whose_call_takes_as_long_as_its_tickets_are_valid() {
+    let mut world = slow_world(6, 8);
+    world.submit("guarded", "key-a", 1, vec![step(21, 8, 1_000)]);
+    world.pass(1_000);
+    world.submit("guarded", "key-a", 2, vec![step(2, 1, 1_000)]);
+    world.pass(8_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+    assert_eq!(world.phase("guarded", 2), Some(Phase::Completed));
+    assert_eq!(world.unadvised, 0);
+    assert!(world.advisor.calls.len() <= 3, "{:?}", world.advisor.calls);
+}
--- a/tests/fleet/fake.rs
+++ b/tests/fleet/fake.rs
@@ -154,6 +154,11 @@
         lost
     }
 
+    /// Returns when its process started; 0 for the first one.
+    pub(crate) const fn started_at(&self) -> u64 {
+        self.origin
+    }
+
     /// Extends its lease until `until_ms` on its clock, or by the longest that it grants.
     pub(crate) fn extend(&mut self, now: u64, until_ms: u64) {
         let most = self.clock(now) + timing().max_lease_ms;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -440,7 +440,7 @@
         while self.now < end {
             self.now += STEP_MS;
             self.advance_upstreams();
-            for event in self.advisor.answer(self.now) {
+            if let Some(event) = self.advisor.answer(self.now) {
                 self.scheduler.step(self.now, event);
             }
             self.answer_holds();
--- a/tests/fleet/world/carry.rs
+++ b/tests/fleet/world/carry.rs
@@ -200,9 +200,11 @@
         let now = self.now;
         // Only jobs of the queue `guarded` need advice.
         let needs_advice = self.guarded.contains(&run.task.job);
-        let unadvised = needs_advice && !advisor::is_valid(now, ticket, &run.task.step_id(), at);
-        self.unadvised += u32::from(unadvised);
         let fake = self.upstreams.get_mut(at).unwrap();
+        let step = run.task.step_id();
+        let unadvised =
+            needs_advice && !advisor::is_valid(now, ticket, &step, at, fake.started_at());
+        self.unadvised += u32::from(unadvised);
         let need = self.needs[&run.task.job][run.task.step as usize];
         let work = self.work_ms.get(&*run.task.job).copied();
         let work = work.unwrap_or(1_000);
