fix(fleet): a step whose calls for advice lead to nothing leaves the service to others

Cause: one call is in progress at a time, as the service handles those of a VM in turn, and the most urgent step that found no place always sent the next one, however often its calls had led to nothing. The same holds for tickets that upstreams refuse, and for those that are late on their way.

Change: a step rests after a call until a task of it starts: as long as the call took, doubled for each further one, at most 5 s. Steps that have rested take turns with the others, and a step that rests asks only while no other does, at most three times. A refused ticket takes the others of its response with it: they have the same age.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -1,8 +1,9 @@
 //! Asks an external service which upstreams may run a step, and caches its responses.
 //!
 //! The service needs time for each call and for each upstream, and serves the calls of a VM one
-//! after the other. So the most urgent step asks first, about no more upstreams than it is likely
-//! to need.
+//! after the other. So one call is in progress at a time. The most urgent step asks first, about no
+//! more upstreams than it is likely to need; a step whose calls lead to no start leaves the service
+//! to the others for a growing time.
 
 use super::decide::advise;
 use super::effect::Effect;
@@ -11,14 +12,13 @@
 use super::model::StepId;
 use super::scheduler::Scheduler;
 use super::snapshot::Snapshot;
+use super::task::Job;
 use super::waiting::WaitingStep;
 use crate::prelude::*;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
-/// The most upstreams in one call.
-const MAX_ASKED: usize = 100;
 /// The number of upstreams to ask about beyond those that are needed, since some may not be
 /// allowed.
 const SPARE_ASKED: usize = 2;
@@ -28,36 +28,82 @@
 /// The service's decision on one step and one upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Verdict {
-    /// It may run the step, with this ticket until this time on the local clock.
-    Good(Arc<str>, u64),
+    /// It may run the step, with this ticket.
+    Good(Ticket),
     /// It may not run the step, and this will not change.
     Bad,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Ticket {
+    text: Arc<str>,
+    /// Until when it may be used, local clock.
+    until: u64,
+}
+
+/// The cached decisions on one step, and what its calls led to.
+#[derive(Debug, Clone, Default)]
+struct Known {
+    verdicts: HashMap<Name, Verdict>,
+    /// The calls since a task of it last started.
+    unrewarded: u32,
+    /// Until when other steps ask first, local clock.
+    rest_until: u64,
+}
+
+/// A call in progress.
+#[derive(Debug, Clone)]
+struct Pending {
+    /// When it was sent, local clock.
+    sent: u64,
+    /// How long the service takes for it, in milliseconds.
+    call_ms: u64,
+}
+
 /// The cached decisions of the service, and the call in progress.
 #[derive(Debug, Clone, Default)]
 pub(super) struct AdviceCache {
-    steps: BTreeMap<StepId, HashMap<Name, Verdict>>,
-    /// When the call in progress was sent, local clock, and how long the service takes for it, in
-    /// milliseconds.
-    asked: Option<(u64, u64)>,
+    steps: BTreeMap<StepId, Known>,
+    pending: Option<Pending>,
     /// When the next call may be sent, local clock.
     next_ask: u64,
+    /// Why the last step that asked was the first to do so.
+    last: Precedence,
 }
 
 impl AdviceCache {
     /// Returns the ticket of a step for an upstream; empty if there is none.
     pub(super) fn ticket(&self, step: &StepId, at: &Name) -> Arc<str> {
-        match self.steps.get(step).and_then(|known| known.get(at)) {
-            Some(Verdict::Good(ticket, _)) => ticket.clone(),
+        let known = self.steps.get(step);
+        match known.and_then(|known| known.verdicts.get(at)) {
+            Some(Verdict::Good(ticket)) => ticket.text.clone(),
             _ => "".into(),
         }
     }
 
-    /// Discards a ticket that an upstream did not accept.
+    /// Discards a ticket that an upstream did not accept, and no longer uses the others of the same
+    /// response: they have expired, too.
     pub(super) fn discard(&mut self, step: &StepId, at: &Name) {
+        let Some(known) = self.steps.get_mut(step) else {
+            return;
+        };
+        let Some(Verdict::Good(refused)) = known.verdicts.remove(at) else {
+            return;
+        };
+        for verdict in known.verdicts.values_mut() {
+            if let Verdict::Good(ticket) = verdict
+                && ticket.until == refused.until
+            {
+                ticket.until = 0;
+            }
+        }
+    }
+
+    /// Records that a task of a step has started: its tickets are accepted.
+    pub(super) fn reward(&mut self, step: &StepId) {
         if let Some(known) = self.steps.get_mut(step) {
-            known.remove(at);
+            known.unrewarded = 0;
+            known.rest_until = 0;
         }
     }
 
@@ -66,33 +112,48 @@
         self.steps.retain(|step, _| step.job != *job);
     }
 
-    /// Returns the candidates for which a step has a valid ticket.
-    fn good(&self, now: u64, step: &StepId, snapshot: &Snapshot) -> HashSet<usize> {
-        let known = self.steps.get(step).into_iter().flatten();
-        let valid = known.filter(|(_, verdict)| match verdict {
-            Verdict::Good(_, until) => now < *until,
-            Verdict::Bad => false,
-        });
-        valid
-            .filter_map(|(name, _)| snapshot.index.get(name).copied())
-            .collect()
+    /// Discards the decisions on occurrences that a job no longer has.
+    pub(super) fn remove_ended_turns(&mut self, job: &Job) {
+        self.steps
+            .retain(|step, _| step.job != job.id || job.turns.contains_key(&step.turn));
     }
 
-    /// Returns whether it is useful to ask about an upstream; `free`: a task would fit there now.
-    fn should_ask(&self, now: u64, step: &StepId, at: &Name, free: bool) -> bool {
-        match self.steps.get(step).and_then(|known| known.get(at)) {
-            None => true,
-            Some(Verdict::Bad) => false,
-            // Without free room, a new ticket would expire unused as well.
-            Some(Verdict::Good(_, until)) => *until <= now && free,
+    fn may_ask(&self, now: u64) -> bool {
+        self.pending.is_none() && now >= self.next_ask
+    }
+
+    /// Returns when a step asks, compared with others: lower first, and by rank if equal.
+    fn precedence(&self, step: &StepId, now: u64) -> Option<(Precedence, u64)> {
+        let Some(known) = self.steps.get(step) else {
+            return Some((Precedence::Fresh, 0));
+        };
+        if known.unrewarded == 0 {
+            Some((Precedence::Fresh, 0))
+        } else if known.rest_until <= now {
+            Some((Precedence::Rested, known.rest_until))
+        } else {
+            let eager = advise::is_eager(known.unrewarded);
+            eager.then_some((Precedence::Rests, known.rest_until))
         }
     }
 
-    fn may_ask(&self, now: u64) -> bool {
-        self.asked.is_none() && now >= self.next_ask
+    fn unrewarded(&self, step: &StepId) -> u32 {
+        self.steps.get(step).map_or(0, |known| known.unrewarded)
     }
 }
 
+/// Which steps ask first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum Precedence {
+    /// No call of it is without a start.
+    #[default]
+    Fresh,
+    /// It has rested.
+    Rested,
+    /// It rests, but no other step asks.
+    Rests,
+}
+
 impl WaitingStep {
     /// Returns the id of the step.
     pub(super) fn step_id(&self) -> StepId {
@@ -114,34 +175,76 @@
         wait: &WaitingStep,
     ) -> Option<HashSet<usize>> {
         wait.queue.advice?;
-        Some(self.advice.good(now, &wait.step_id(), snapshot))
+        let known = self.advice.steps.get(&wait.step_id());
+        let names = known.into_iter().flat_map(|known| known.verdicts.keys());
+        let valid = names.filter(|name| {
+            let verdict = known.and_then(|known| known.verdicts.get(*name));
+            matches!(verdict, Some(Verdict::Good(ticket)) if now < ticket.until)
+        });
+        Some(
+            valid
+                .filter_map(|name| snapshot.index.get(name).copied())
+                .collect(),
+        )
     }
 
-    /// Asks about more upstreams for a step that found too few, unless a call is in progress.
-    pub(super) fn ask(&mut self, now: u64, snapshot: &Snapshot, wait: &WaitingStep, step: &Step) {
-        let Some(advice) = wait.queue.advice.filter(|_| self.advice.may_ask(now)) else {
+    /// Sends the next call if none is in progress, for one of the steps in `wanting`, which are in the
+    /// order of their ranks. Steps whose calls led to a start and those that have rested take turns.
+    pub(super) fn ask_next(&mut self, now: u64, snapshot: &Snapshot, wanting: &[&WaitingStep]) {
+        if wanting.is_empty() || !self.advice.may_ask(now) {
             return;
+        }
+        let mut order: Vec<(Precedence, u64, &WaitingStep)> = wanting
+            .iter()
+            .filter_map(|wait| {
+                let (place, since) = self.advice.precedence(&wait.step_id(), now)?;
+                Some((place, since, *wait))
+            })
+            .collect();
+        let fresh_later = self.advice.last == Precedence::Fresh;
+        order.sort_by_key(|(place, since, _)| match place {
+            Precedence::Fresh if fresh_later => (Precedence::Rested, u64::MAX),
+            place => (*place, *since),
+        });
+        for (place, _, wait) in order {
+            if self.ask(now, snapshot, wait) {
+                self.advice.last = place;
+                return;
+            }
+        }
+    }
+
+    /// Asks about upstreams for a step; returns whether there are any to ask about.
+    fn ask(&mut self, now: u64, snapshot: &Snapshot, wait: &WaitingStep) -> bool {
+        let Some(advice) = wait.queue.advice else {
+            return false;
+        };
+        let job = self.jobs.get(&wait.job);
+        let Some(step) = job.and_then(|job| job.spec.steps.get(wait.step as usize)) else {
+            return false;
         };
-        let id = wait.step_id();
         let upstreams = self.to_ask(now, snapshot, wait, step);
         if upstreams.is_empty() {
-            return;
+            return false;
         }
-        let count = u64::try_from(upstreams.len()).unwrap_or(u64::MAX);
+        let id = wait.step_id();
+        let unrewarded = self.advice.unrewarded(&id);
+        let call_ms = advice.call_ms(u64::try_from(upstreams.len()).unwrap_or(u64::MAX));
         log::info!(
-            "TG1610 job={} turn={} step={} asks about={count} waited_ms={}",
+            "TG1610 job={} turn={} step={} asks about={} call_ms={call_ms} unrewarded={unrewarded} waited_ms={}",
             id.job,
             id.turn,
             id.step,
+            upstreams.len(),
             now.saturating_sub(wait.since)
         );
-        let call_ms = advice.call_ms(count);
-        self.advice.asked = Some((now, call_ms));
+        self.advice.pending = Some(Pending { sent: now, call_ms });
         self.out.immediate.push(Effect::Advise {
             step: id,
             upstreams,
             call_ms,
         });
+        true
     }
 
     /// Chooses the upstreams to ask about: those close to the data first, then those of the rack
@@ -165,7 +268,7 @@
             })
             .filter(|candidate| {
                 let free = candidate.open && need.fits(&candidate.free);
-                self.advice.should_ask(now, &id, &candidate.name, free)
+                self.should_ask(now, &id, &candidate.name, free)
             })
             .map(|candidate| {
                 let remote = !step.data_rack.is_empty() && *candidate.rack != *step.data_rack;
@@ -188,10 +291,21 @@
             .map_or(1, |candidate| candidate.room.accelerators);
         let fit = usize::try_from((room / each).max(1)).unwrap_or(1);
         let wanted = 2 * wait.tasks.len().div_ceil(fit) + SPARE_ASKED;
-        let chosen = found.into_iter().take(wanted.min(MAX_ASKED));
+        let chosen = found.into_iter().take(wanted.min(advise::MAX_ASKED));
         chosen.map(|(_, _, _, name)| name.clone()).collect()
     }
 
+    /// Returns whether it is useful to ask about an upstream; `free`: a task would fit there now.
+    fn should_ask(&self, now: u64, step: &StepId, at: &Name, free: bool) -> bool {
+        let known = self.advice.steps.get(step);
+        match known.and_then(|known| known.verdicts.get(at)) {
+            None => true,
+            Some(Verdict::Bad) => false,
+            // Without free room, a new ticket would expire unused as well.
+            Some(Verdict::Good(ticket)) => ticket.until <= now && free,
+        }
+    }
+
     /// Handles the response to a call, or its failure.
     pub(super) fn advised(
         &mut self,
@@ -200,31 +314,60 @@
         asked: &[Name],
         answer: Option<Advised>,
     ) {
-        let (sent, call_ms) = self.advice.asked.take().unwrap_or((now, 0));
+        let pending = self.advice.pending.take().unwrap_or_else(|| Pending {
+            sent: now,
+            call_ms: 0,
+        });
+        let took = now.saturating_sub(pending.sent);
+        let until = answer.as_ref().map(|answer| {
+            advise::usable_until(pending.sent, pending.call_ms, now, answer.valid_ms)
+        });
         log::info!(
-            "TG1611 job={} turn={} step={} asked={} good={:?} after_ms={}",
+            "TG1611 job={} turn={} step={} asked={} good={:?} valid_ms={:?} usable_ms={:?} after_ms={took} expected_ms={}",
             step.job,
             step.turn,
             step.step,
             asked.len(),
             answer.as_ref().map(|answer| answer.eligible.len()),
-            now.saturating_sub(sent)
+            answer.as_ref().map(|answer| answer.valid_ms),
+            until.map(|until| until.saturating_sub(now)),
+            pending.call_ms
         );
         self.changed = true;
-        let Some(answer) = answer else {
+        if answer.is_none() {
             self.advice.next_ask = now + RETRY_MS;
-            return;
-        };
+        }
         if !self.open.contains(&step.job) {
             return;
         }
-        let known = self.advice.steps.entry(step.clone()).or_default();
-        for name in asked {
-            known.insert(name.clone(), Verdict::Bad);
+        let mut known = self.advice.steps.remove(step).unwrap_or_default();
+        if let (Some(answer), Some(until)) = (answer, until) {
+            for name in asked {
+                known.verdicts.insert(name.clone(), Verdict::Bad);
+            }
+            for (name, text) in answer.eligible {
+                known
+                    .verdicts
+                    .insert(name, Verdict::Good(Ticket { text, until }));
+            }
         }
-        let until = advise::usable_until(sent, call_ms, now, answer.valid_ms);
-        for (name, ticket) in answer.eligible {
-            known.insert(name, Verdict::Good(ticket, until));
+        Self::rest(now, step, &mut known, took.max(RETRY_MS));
+        self.advice.steps.insert(step.clone(), known);
+    }
+
+    /// Lets a step rest after a call that took `took_ms`, until a task of it starts.
+    fn rest(now: u64, step: &StepId, known: &mut Known, took_ms: u64) {
+        known.unrewarded = known.unrewarded.saturating_add(1);
+        let rest_ms = advise::rest_ms(known.unrewarded, took_ms);
+        known.rest_until = now + rest_ms;
+        if known.unrewarded > 1 {
+            log::info!(
+                "TG1624 job={} turn={} step={} rests: {} calls led to no start, rest_ms={rest_ms}",
+                step.job,
+                step.turn,
+                step.step,
+                known.unrewarded
+            );
         }
     }
 }
--- a/src/fleet/decide/advise.rs
+++ b/src/fleet/decide/advise.rs
@@ -1,5 +1,7 @@
-//! For how long the tickets of a call for advice are used.
+//! How many upstreams a call for advice names, and for how long its tickets are used.
 
+/// The most upstreams in one call.
+pub(in crate::fleet) const MAX_ASKED: usize = 100;
 /// How long before its expiry a ticket is no longer used, in milliseconds: the order that carries
 /// it must arrive in time.
 const TICKET_SLACK_MS: u64 = 300;
@@ -7,6 +9,10 @@
 /// passes. A response can take longer than its tickets are valid by the time of the call; whether
 /// it was decided late or delivered late, asking again would gain nothing.
 const MIN_USE_MS: u64 = 400;
+/// The longest wait before a step whose calls led to no start asks again, in milliseconds.
+const MAX_REST_MS: u64 = 5_000;
+/// The number of calls without a start after which a step waits even if no other step asks.
+const MAX_EAGER: u32 = 3;
 
 /// Returns until when the tickets of a response may be used (local clock), for a call that was sent
 /// at `sent`, takes `call_ms` at the service, and was answered at `now`.
@@ -18,3 +24,15 @@
     let until = decided.saturating_add(valid_ms.saturating_sub(TICKET_SLACK_MS));
     until.max(now + valid_ms.min(MIN_USE_MS))
 }
+
+/// Returns for how long a step leaves the service to other steps after `unrewarded` calls in a row
+/// that led to no start, the last of which took `took_ms`, in milliseconds.
+pub(in crate::fleet) fn rest_ms(unrewarded: u32, took_ms: u64) -> u64 {
+    let doublings = unrewarded.saturating_sub(1).min(u64::BITS - 1);
+    took_ms.saturating_mul(1 << doublings).min(MAX_REST_MS)
+}
+
+/// Returns whether a step that rests may ask if no other step does.
+pub(in crate::fleet) fn is_eager(unrewarded: u32) -> bool {
+    unrewarded <= MAX_EAGER
+}
--- a/src/fleet/ends.rs
+++ b/src/fleet/ends.rs
@@ -264,6 +264,7 @@
         let all_done = job.turns.values().all(Turn::is_done);
         let all_begun = job.next_turn >= job.times();
         job.turns.retain(|_, turn| !settled(turn));
+        self.advice.remove_ended_turns(job);
         self.dirty.insert(id.clone());
         self.pending.insert(id.clone());
         if all_begun && all_done {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -73,7 +73,7 @@
             }
             tried[at] = true;
             snapshot.ahead.position = position;
-            self.place_step(now, &mut snapshot, wait);
+            self.place_step(now, &mut snapshot, position, wait);
             // Room that is freed for a step is its placement, too: no other step is exempt besides.
             if overdue
                 && self.reservation(now, wait).is_some()
@@ -84,6 +84,8 @@
             }
         }
         self.keep_reservations(now, &snapshot);
+        let wanting = snapshot.unadvised.iter().map(|at| &waiting[*at]);
+        self.ask_next(now, &snapshot, &wanting.collect::<Vec<_>>());
         self.shares.note_contention(snapshot.has_failures());
         waiting.len() as u64
     }
@@ -116,7 +118,13 @@
         true
     }
 
-    fn place_step(&mut self, now: u64, snapshot: &mut Snapshot, wait: &WaitingStep) {
+    fn place_step(
+        &mut self,
+        now: u64,
+        snapshot: &mut Snapshot,
+        position: usize,
+        wait: &WaitingStep,
+    ) {
         let Some(job) = self.jobs.get(&wait.job) else {
             return;
         };
@@ -213,7 +221,7 @@
             }
         };
         if !placed && allowed.is_some() {
-            self.ask(now, snapshot, wait, &step);
+            snapshot.unadvised.push(position);
         } else if !placed {
             if !careful && barred.is_empty() {
                 snapshot.record_failure(shape, tried);
--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -71,6 +71,7 @@
                 live.began = Some(now);
                 live.progress_at = now;
                 live.saved_at = now;
+                self.advice.reward(&run.task.step_id());
                 self.watch_speed(now, run);
                 self.mark_begun(&run.task.job);
                 return;
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -31,6 +31,8 @@
     /// The smallest step of each shape that found no place in this pass; free resources only shrink
     /// during a pass, so larger ones need no search.
     failed: HashMap<Shape, Tried>,
+    /// The steps that lack tickets, by their position among the waiting ones.
+    pub(super) unadvised: Vec<usize>,
     /// The room that is reserved ahead for gangs.
     pub(super) ahead: Ahead,
     /// The part of all accelerators that is in use, 0 to 1.
@@ -185,6 +187,7 @@
             releasing,
             victims: None,
             failed: HashMap::new(),
+            unadvised: Vec::new(),
             ahead: Ahead::default(),
             utilisation: ratio(used, room),
         }
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -170,3 +170,50 @@
     assert_eq!(world.unadvised, 0);
     assert!(world.advisor.calls.len() <= 3, "{:?}", world.advisor.calls);
 }
+
+/// Guards against a step whose calls lead to no start and that holds up all others.
+#[test]
+fn a_step_whose_tickets_are_refused_leaves_the_service_to_others() {
+    let mut world = slow_world(6, 8);
+    world.advisor.void = Some(format!("{:016x}", 1).into());
+    world.submit("guarded", "key-a", 1, vec![step(12, 8, 1_000)]);
+    for id in 2..7 {
+        world.pass(1_000);
+        world.submit("guarded", "key-a", id, vec![step(2, 1, 1_000)]);
+    }
+    world.pass(10_000);
+    for id in 2..7 {
+        assert_eq!(world.phase("guarded", id), Some(Phase::Completed), "{id}");
+    }
+    world.pass(15_000);
+    assert_eq!(world.runs_begun(1), 0);
+    // 30 s of calls of 1.8 s, and 5 s of rest after most of them.
+    let calls = world.advisor.calls_about(1);
+    assert!((3..=7).contains(&calls), "{calls}");
+    world.advisor.void = None;
+    world.pass(10_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+}
+
+/// Guards against a response that is late on its way and asked for again without end.
+#[test]
+fn tickets_that_arrive_late_are_tried_once_and_asked_for_again_ever_later() {
+    let mut world = slow_world(1, 8);
+    world.advisor.transit_ms = 900;
+    world.advisor.valid_ms = 800;
+    world.submit("guarded", "key-a", 1, vec![step(2, 8, 1_000)]);
+    world.submit("guarded", "key-a", 2, vec![step(2, 8, 1_000)]);
+    world.pass(30_000);
+    let calls = [world.advisor.calls_about(1), world.advisor.calls_about(2)];
+    assert!(
+        calls.iter().all(|calls| (3..=8).contains(calls)),
+        "{calls:?}"
+    );
+    // Two tasks for each call: a ticket is tried, not repeated.
+    assert!(world.unadvised <= 32, "{}", world.unadvised);
+    world.advisor.transit_ms = 0;
+    world.pass(15_000);
+    for id in [1, 2] {
+        assert_eq!(world.phase("guarded", id), Some(Phase::Completed), "{id}");
+    }
+}
--- a/tests/fleet/advisor.rs
+++ b/tests/fleet/advisor.rs
@@ -79,6 +79,13 @@
         });
     }
 
+    /// Returns the number of calls about a job.
+    pub(crate) fn calls_about(&self, id: u64) -> usize {
+        let job = format!("{id:016x}");
+        let about = self.calls.iter().filter(|(step, _)| *step.job == *job);
+        about.count()
+    }
+
     /// Returns the answer that is due, if any.
     pub(crate) fn answer(&mut self, now: u64) -> Option<Event> {
         let (transit, silent) = (self.transit_ms, self.silent);
