fix(fleet): a service of advice that does not answer is asked ever less often, and given more time

What callers saw, in the world of tests: with a service that takes three times as long as its queue says, no job that needs advice ever starts. With a silent one the VM calls each 2 s without end.

Cause: a call is given up 1 s after its expected end, and the next one is sent 300 ms later. The service handles the calls of a VM in turn, also those that were given up, so each call waits for the one before and is given up as well.

Change: the wait after a call without a response (429, 503, silence) doubles up to 5 s, and the time that the service is given doubles up to eight times. Responses in time take that back one by one.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -22,8 +22,13 @@
 /// The number of upstreams to ask about beyond those that are needed, since some may not be
 /// allowed.
 const SPARE_ASKED: usize = 2;
-/// The wait before the next call after one without a response, in milliseconds.
+/// The wait before the next call after one without a response, in milliseconds; doubled for each
+/// further one.
 const RETRY_MS: u64 = 300;
+/// The longest such wait, in milliseconds.
+const MAX_RETRY_MS: u64 = 5_000;
+/// The most doublings of the time that the service is given, after calls without a response.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// The service's decision on one step and one upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,6 +72,8 @@
     pending: Option<Pending>,
     /// When the next call may be sent, local clock.
     next_ask: u64,
+    /// Rises with each call without a response, falls with each response in time.
+    failures: u32,
     /// Why the last step that asked was the first to do so.
     last: Precedence,
 }
@@ -231,18 +238,21 @@
         let unrewarded = self.advice.unrewarded(&id);
         let call_ms = advice.call_ms(u64::try_from(upstreams.len()).unwrap_or(u64::MAX));
         log::info!(
-            "TG1610 job={} turn={} step={} asks about={} call_ms={call_ms} unrewarded={unrewarded} waited_ms={}",
+            "TG1610 job={} turn={} step={} asks about={} call_ms={call_ms} unrewarded={unrewarded} failures={} waited_ms={}",
             id.job,
             id.turn,
             id.step,
             upstreams.len(),
+            self.advice.failures,
             now.saturating_sub(wait.since)
         );
         self.advice.pending = Some(Pending { sent: now, call_ms });
+        // Calls that were given up are still served first: give a slow service more time.
+        let doublings = self.advice.failures.min(MAX_DOUBLINGS);
         self.out.immediate.push(Effect::Advise {
             step: id,
             upstreams,
-            call_ms,
+            call_ms: call_ms.saturating_mul(1 << doublings),
         });
         true
     }
@@ -334,8 +344,18 @@
             pending.call_ms
         );
         self.changed = true;
-        if answer.is_none() {
-            self.advice.next_ask = now + RETRY_MS;
+        match &answer {
+            Some(_) => {
+                if took <= pending.call_ms + RETRY_MS {
+                    self.advice.failures = self.advice.failures.saturating_sub(1);
+                }
+            }
+            None => {
+                let doublings = self.advice.failures.min(u64::BITS - 1);
+                let wait_ms = RETRY_MS.saturating_mul(1 << doublings).min(MAX_RETRY_MS);
+                self.advice.next_ask = now + wait_ms;
+                self.advice.failures = self.advice.failures.saturating_add(1);
+            }
         }
         if !self.open.contains(&step.job) {
             return;
--- a/src/fleet/effect.rs
+++ b/src/fleet/effect.rs
@@ -99,7 +99,7 @@
         step: StepId,
         /// The upstreams to ask about.
         upstreams: Vec<Name>,
-        /// How long the response is expected to take, in milliseconds.
+        /// How long the service is given to respond, in milliseconds.
         call_ms: u64,
     },
     /// List all machines.
--- a/src/fleet/ports.rs
+++ b/src/fleet/ports.rs
@@ -255,8 +255,8 @@
 
 /// The advice service, which decides which upstreams may run a step.
 pub trait Advisor: Send + Sync + Debug {
-    /// Asks which of `upstreams` may run a step; none without a response. The call is expected to
-    /// take `call_ms`.
+    /// Asks which of `upstreams` may run a step; none without a response. The service is given
+    /// `call_ms` to respond.
     fn ask(
         &self,
         step: StepId,
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -217,3 +217,35 @@
         assert_eq!(world.phase("guarded", id), Some(Phase::Completed), "{id}");
     }
 }
+
+/// Guards against a service that is asked all the faster the less it answers.
+#[test]
+fn a_silent_service_is_asked_ever_less_often_and_by_turns() {
+    let mut world = slow_world(1, 8);
+    world.advisor.silent = true;
+    for id in 1..4 {
+        world.submit("guarded", "key-a", id, vec![step(1, 8, 1_000)]);
+    }
+    world.pass(60_000);
+    let calls = world.advisor.calls.len();
+    assert!((6..=14).contains(&calls), "{calls}");
+    for id in 1..4 {
+        assert!(world.advisor.calls_about(id) >= 2, "{id}");
+    }
+    world.advisor.silent = false;
+    world.pass(30_000);
+    for id in 1..4 {
+        assert_eq!(world.phase("guarded", id), Some(Phase::Completed), "{id}");
+    }
+}
+
+/// Guards against a slow service none of whose responses arrives before its call is given up.
+#[test]
+fn a_service_that_takes_three_times_as_long_is_given_the_time() {
+    let mut world = slow_world(1, 8);
+    world.advisor.decide_ms = 1_500;
+    world.advisor.each_ms = 150;
+    world.submit("guarded", "key-a", 1, vec![step(4, 8, 1_000)]);
+    world.pass(60_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+}
