fix(fleet): a ticket is not used at another process of its upstream

What callers saw, in the world of tests: an upstream restarts under its id while a gang holds a ticket for it; the start that carries the ticket is refused, and the gang waits for its members to be stopped.

It was kept by the upstream's id alone.

Change: a ticket is kept with the life of the upstream at the time of the call, and asked for again once another one is known there.

A new leader holds no tickets; that path had no fault.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -44,6 +44,8 @@
     text: Arc<str>,
     /// Until when it may be used, local clock.
     until: u64,
+    /// The life of the upstream for which it was given.
+    life: u64,
 }
 
 /// The cached decisions on one step, and what its calls led to.
@@ -63,6 +65,8 @@
     sent: u64,
     /// How long the service takes for it, in milliseconds.
     call_ms: u64,
+    /// The life of each upstream that it names.
+    lives: HashMap<Name, u64>,
 }
 
 /// The cached decisions of the service, and the call in progress.
@@ -186,7 +190,7 @@
         let names = known.into_iter().flat_map(|known| known.verdicts.keys());
         let valid = names.filter(|name| {
             let verdict = known.and_then(|known| known.verdicts.get(*name));
-            matches!(verdict, Some(Verdict::Good(ticket)) if now < ticket.until)
+            matches!(verdict, Some(Verdict::Good(ticket)) if self.is_valid(ticket, name, now))
         });
         Some(
             valid
@@ -195,6 +199,11 @@
         )
     }
 
+    /// Returns whether a ticket may still be used at `at`: it is void once another process runs there.
+    fn is_valid(&self, ticket: &Ticket, at: &Name, now: u64) -> bool {
+        now < ticket.until && ticket.life == self.life_of(at)
+    }
+
     /// Sends the next call if none is in progress, for one of the steps in `wanting`, which are in the
     /// order of their ranks. Steps whose calls led to a start and those that have rested take turns.
     pub(super) fn ask_next(&mut self, now: u64, snapshot: &Snapshot, wanting: &[&WaitingStep]) {
@@ -246,7 +255,14 @@
             self.advice.failures,
             now.saturating_sub(wait.since)
         );
-        self.advice.pending = Some(Pending { sent: now, call_ms });
+        let lives = upstreams
+            .iter()
+            .map(|name| (name.clone(), self.life_of(name)));
+        self.advice.pending = Some(Pending {
+            sent: now,
+            call_ms,
+            lives: lives.collect(),
+        });
         // Calls that were given up are still served first: give a slow service more time.
         let doublings = self.advice.failures.min(MAX_DOUBLINGS);
         self.out.immediate.push(Effect::Advise {
@@ -312,7 +328,7 @@
             None => true,
             Some(Verdict::Bad) => false,
             // Without free room, a new ticket would expire unused as well.
-            Some(Verdict::Good(ticket)) => ticket.until <= now && free,
+            Some(Verdict::Good(ticket)) => !self.is_valid(ticket, at, now) && free,
         }
     }
 
@@ -327,6 +343,7 @@
         let pending = self.advice.pending.take().unwrap_or_else(|| Pending {
             sent: now,
             call_ms: 0,
+            lives: HashMap::new(),
         });
         let took = now.saturating_sub(pending.sent);
         let until = answer.as_ref().map(|answer| {
@@ -366,9 +383,11 @@
                 known.verdicts.insert(name.clone(), Verdict::Bad);
             }
             for (name, text) in answer.eligible {
-                known
-                    .verdicts
-                    .insert(name, Verdict::Good(Ticket { text, until }));
+                let Some(&life) = pending.lives.get(&name) else {
+                    continue;
+                };
+                let ticket = Ticket { text, until, life };
+                known.verdicts.insert(name, Verdict::Good(ticket));
             }
         }
         Self::rest(now, step, &mut known, took.max(RETRY_MS));
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -157,6 +157,14 @@
     world
 }
 
+/// A gang whose members may be on any rack, with 8 accelerators each.
+fn wide_gang(count: u32) -> Step {
+    Step {
+        gang: true,
+        ..step(count, 8, 1_000)
+    }
+}
+
 /// Guards against tickets that count as expired on arrival, as their call took long.
 #[test]
 fn a_step_starts_whose_call_takes_as_long_as_its_tickets_are_valid() {
@@ -218,6 +226,23 @@
     }
 }
 
+/// Guards against a ticket that was given for an earlier process of its upstream.
+#[test]
+fn tickets_of_an_earlier_process_are_asked_for_again() {
+    let mut world = slow_world(1, 2);
+    world.work_ms.insert(format!("{:016x}", 1), 2_000);
+    world.submit("batch", "key-a", 1, vec![step(1, 8, 2_000)]);
+    world.submit("guarded", "key-a", 2, vec![wide_gang(2)]);
+    world.pass(1_000);
+    let (_, _, busy) = world.at_work(1)[0].clone();
+    let idle = world.upstreams.keys().find(|name| **name != busy).cloned();
+    world.restart(&idle.unwrap());
+    world.list();
+    world.pass(3_000);
+    assert_eq!(world.unadvised, 0);
+    assert_eq!(world.runs_begun(2), 2);
+}
+
 /// Guards against a service that is asked all the faster the less it answers.
 #[test]
 fn a_silent_service_is_asked_ever_less_often_and_by_turns() {
