fix(fleet): a gang asks for the tickets that it lacks, while it holds the others

What callers saw, in the world of tests: a gang on 120 upstreams never starts, though the service allows all of them; one with fewer allowed upstreams than it needs asks again and again.

Cause: one call names at most 100 upstreams. Each call asked about twice the whole gang and did not look at the tickets that the gang held, so those of the first call expired during the second one. Nothing compared what may be allowed at all with what the gang needs.

Change: a gang asks about what it lacks, and about no more than can be answered before its tickets expire; if that is too little, it asks for them again, those known to be allowed first. While its tickets grow in number it does not rest. It is not asked for at all once too few upstreams can be allowed, and for known ones only while enough are free.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -6,15 +6,19 @@
 //! to the others for a growing time.
 
 use super::decide::advise;
+use super::decide::place::Candidate;
 use super::effect::Effect;
 use super::event::Advised;
+use super::model::Advice;
 use super::model::Step;
 use super::model::StepId;
 use super::scheduler::Scheduler;
 use super::snapshot::Snapshot;
 use super::task::Job;
+use super::task::TaskPosition;
 use super::waiting::WaitingStep;
 use crate::prelude::*;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -22,6 +26,8 @@
 /// The number of upstreams to ask about beyond those that are needed, since some may not be
 /// allowed.
 const SPARE_ASKED: usize = 2;
+/// The number of unknown upstreams to ask about for each one that is needed.
+const ASKED_EACH: usize = 2;
 /// The wait before the next call after one without a response, in milliseconds; doubled for each
 /// further one.
 const RETRY_MS: u64 = 300;
@@ -52,7 +58,9 @@
 #[derive(Debug, Clone, Default)]
 struct Known {
     verdicts: HashMap<Name, Verdict>,
-    /// The calls since a task of it last started.
+    /// The most tickets that its gang has held at a time since it last began to rest.
+    held: usize,
+    /// The calls since a task of it last started, without those that brought a gang more tickets.
     unrewarded: u32,
     /// Until when other steps ask first, local clock.
     rest_until: u64,
@@ -113,6 +121,7 @@
     /// Records that a task of a step has started: its tickets are accepted.
     pub(super) fn reward(&mut self, step: &StepId) {
         if let Some(known) = self.steps.get_mut(step) {
+            known.held = 0;
             known.unrewarded = 0;
             known.rest_until = 0;
         }
@@ -138,7 +147,9 @@
         let Some(known) = self.steps.get(step) else {
             return Some((Precedence::Fresh, 0));
         };
-        if known.unrewarded == 0 {
+        if known.held > 0 {
+            Some((Precedence::Continues, 0))
+        } else if known.unrewarded == 0 {
             Some((Precedence::Fresh, 0))
         } else if known.rest_until <= now {
             Some((Precedence::Rested, known.rest_until))
@@ -156,6 +167,8 @@
 /// Which steps ask first.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 enum Precedence {
+    /// A gang whose last call brought it more tickets: they expire while others ask.
+    Continues,
     /// No call of it is without a start.
     #[default]
     Fresh,
@@ -176,6 +189,38 @@
     }
 }
 
+/// The upstreams that a step could ask about, and the tickets that it holds.
+#[derive(Debug)]
+struct Survey {
+    /// The tasks for which tickets are missing.
+    missing: usize,
+    /// When the first of the tickets that it holds for the other tasks expires, local clock.
+    held_until: u64,
+    /// The upstreams, best first, and whether the service is known to allow each.
+    open: Vec<(Name, bool)>,
+}
+
+impl Survey {
+    /// Chooses the upstreams to ask about: those that are needed, once if they are known to be
+    /// allowed, and twice as many others; at most `most`.
+    fn choose(self, needed: usize, most: usize) -> Vec<Name> {
+        let mut wanted = ASKED_EACH * needed;
+        let mut spare = SPARE_ASKED;
+        let mut chosen = Vec::new();
+        for (name, allowed) in self.open.into_iter().take(most) {
+            if wanted == 0 {
+                if spare == 0 {
+                    break;
+                }
+                spare -= 1;
+            }
+            wanted = wanted.saturating_sub(if allowed { ASKED_EACH } else { 1 });
+            chosen.push(name);
+        }
+        chosen
+    }
+}
+
 impl Scheduler {
     /// Returns the candidates for which a step has a valid ticket, or none if its queue needs no
     /// advice.
@@ -239,7 +284,7 @@
         let Some(step) = job.and_then(|job| job.spec.steps.get(wait.step as usize)) else {
             return false;
         };
-        let upstreams = self.to_ask(now, snapshot, wait, step);
+        let upstreams = self.to_ask(now, snapshot, wait, step, &advice);
         if upstreams.is_empty() {
             return false;
         }
@@ -273,63 +318,140 @@
         true
     }
 
-    /// Chooses the upstreams to ask about: those close to the data first, then those of the rack
-    /// with the most free accelerators if the step needs one rack, then those with room for a task.
-    fn to_ask(&self, now: u64, snapshot: &Snapshot, wait: &WaitingStep, step: &Step) -> Vec<Name> {
-        let id = wait.step_id();
+    /// Chooses the upstreams to ask about.
+    fn to_ask(
+        &self,
+        now: u64,
+        snapshot: &Snapshot,
+        wait: &WaitingStep,
+        step: &Step,
+        advice: &Advice,
+    ) -> Vec<Name> {
+        let fit = tasks_each(snapshot, step);
+        let survey = self.survey(now, now, snapshot, wait, step, fit);
+        let needed = survey.missing.div_ceil(fit);
+        if !step.gang {
+            return survey.choose(needed, advise::MAX_ASKED);
+        }
+        // A gang needs all of its tickets at the same time.
+        let in_time = advise::width_until(advice, now, survey.held_until);
+        if in_time >= needed.min(advise::MAX_ASKED) {
+            return survey.choose(needed, in_time);
+        }
+        // Those that it holds expire before the rest is there: it asks for them again.
+        let longest_ms =
+            advice.call_ms(u64::try_from(needed.min(advise::MAX_ASKED)).unwrap_or(u64::MAX));
+        let survey = self.survey(now, now + longest_ms, snapshot, wait, step, fit);
+        let needed = survey.missing.div_ceil(fit);
+        survey.choose(needed, advise::MAX_ASKED)
+    }
+
+    /// Finds the upstreams that a step could ask about: those close to the data first, then those of
+    /// the rack with the most free accelerators if the step needs one rack, then those known to be
+    /// allowed, then those with room for a task. Tickets that expire before `answer_at` do not count.
+    fn survey(
+        &self,
+        now: u64,
+        answer_at: u64,
+        snapshot: &Snapshot,
+        wait: &WaitingStep,
+        step: &Step,
+        fit: usize,
+    ) -> Survey {
         let need = step.need();
+        let limit = upstream_limit(step);
+        let waiting = self.unplaced(wait);
+        let known = self.advice.steps.get(&wait.step_id());
         let mut racks: HashMap<&Name, u64> = HashMap::new();
-        for candidate in snapshot
-            .candidates
-            .iter()
-            .filter(|candidate| candidate.open)
-        {
-            *racks.entry(&candidate.rack).or_default() += candidate.free.accelerators;
+        for candidate in &snapshot.candidates {
+            if candidate.open {
+                *racks.entry(&candidate.rack).or_default() += candidate.free.accelerators;
+            }
+        }
+        // A gang that fits on one rack uses the tickets of one rack only, so that others do not count.
+        let combines = step.gang && (!step.one_rack || waiting.div_ceil(fit) > advise::MAX_ASKED);
+        let (mut held, mut held_until) = (0, if combines { u64::MAX } else { now });
+        let (mut room, mut free) = (0, 0);
+        let mut found = Vec::new();
+        for candidate in &snapshot.candidates {
+            if !candidate.allows(&wait.queue.service, step) || !need.fits(&candidate.room) {
+                continue;
+            }
+            let ticket = match known.and_then(|known| known.verdicts.get(&candidate.name)) {
+                Some(Verdict::Bad) => continue,
+                Some(Verdict::Good(ticket)) => Some(ticket),
+                None => None,
+            };
+            let tasks = |room| as_usize(Candidate::count(room, &need, limit));
+            let fits_now = if candidate.open {
+                tasks(&candidate.free)
+            } else {
+                0
+            };
+            room += tasks(&candidate.room);
+            free += fits_now;
+            match ticket {
+                Some(ticket)
+                    if self.is_valid(ticket, &candidate.name, now) && ticket.until > answer_at =>
+                {
+                    if combines && fits_now > 0 {
+                        held += fits_now;
+                        held_until = held_until.min(ticket.until);
+                    }
+                    continue;
+                }
+                // Without free room, a new ticket would expire unused as well.
+                Some(_) if fits_now == 0 => continue,
+                _ => {}
+            }
+            let remote = !step.data_rack.is_empty() && *candidate.rack != *step.data_rack;
+            let rack = racks.get(&candidate.rack).copied().unwrap_or(0);
+            let rack = if step.one_rack { rack } else { 0 };
+            found.push((
+                remote,
+                Reverse((rack, &candidate.rack)),
+                ticket.is_none(),
+                fits_now == 0,
+                &candidate.name,
+            ));
+        }
+        if step.gang {
+            if room < waiting {
+                // Too few are allowed: no further ticket helps.
+                found.clear();
+            } else if free < waiting {
+                found.retain(|(_, _, unknown, _, _)| *unknown);
+            }
+        }
+        found.sort_unstable();
+        let open = found
+            .into_iter()
+            .map(|(_, _, unknown, _, name)| (name.clone(), !unknown));
+        Survey {
+            missing: if held < waiting {
+                waiting - held
+            } else {
+                waiting
+            },
+            held_until,
+            open: open.collect(),
         }
-        let mut found: Vec<_> = snapshot
-            .candidates
-            .iter()
-            .filter(|candidate| {
-                candidate.allows(&wait.queue.service, step) && need.fits(&candidate.room)
-            })
-            .filter(|candidate| {
-                let free = candidate.open && need.fits(&candidate.free);
-                self.should_ask(now, &id, &candidate.name, free)
-            })
-            .map(|candidate| {
-                let remote = !step.data_rack.is_empty() && *candidate.rack != *step.data_rack;
-                let rack = racks.get(&candidate.rack).copied().unwrap_or(0);
-                let rack = if step.one_rack { rack } else { 0 };
-                let free = candidate.open && need.fits(&candidate.free);
-                (
-                    remote,
-                    std::cmp::Reverse((rack, &candidate.rack)),
-                    !free,
-                    &candidate.name,
-                )
-            })
-            .collect();
-        found.sort();
-        let each = need.accelerators.max(1);
-        let room = snapshot
-            .candidates
-            .first()
-            .map_or(1, |candidate| candidate.room.accelerators);
-        let fit = usize::try_from((room / each).max(1)).unwrap_or(1);
-        let wanted = 2 * wait.tasks.len().div_ceil(fit) + SPARE_ASKED;
-        let chosen = found.into_iter().take(wanted.min(advise::MAX_ASKED));
-        chosen.map(|(_, _, _, name)| name.clone()).collect()
     }
 
-    /// Returns whether it is useful to ask about an upstream; `free`: a task would fit there now.
-    fn should_ask(&self, now: u64, step: &StepId, at: &Name, free: bool) -> bool {
-        let known = self.advice.steps.get(step);
-        match known.and_then(|known| known.verdicts.get(at)) {
-            None => true,
-            Some(Verdict::Bad) => false,
-            // Without free room, a new ticket would expire unused as well.
-            Some(Verdict::Good(ticket)) => !self.is_valid(ticket, at, now) && free,
-        }
+    /// Returns how many of the tasks that waited at the begin of the pass still do.
+    pub(super) fn unplaced(&self, wait: &WaitingStep) -> usize {
+        let Some(job) = self.jobs.get(&wait.job) else {
+            return 0;
+        };
+        let waits = |index: &&u32| {
+            let position = TaskPosition {
+                turn: wait.turn,
+                step: wait.step,
+                index: **index,
+            };
+            job.task(position).is_some_and(|task| task.live.is_none())
+        };
+        wait.tasks.iter().filter(waits).count()
     }
 
     /// Handles the response to a call, or its failure.
@@ -390,18 +512,30 @@
                 known.verdicts.insert(name, Verdict::Good(ticket));
             }
         }
-        Self::rest(now, step, &mut known, took.max(RETRY_MS));
+        self.note_call(now, step, &mut known, took.max(RETRY_MS));
         self.advice.steps.insert(step.clone(), known);
     }
 
-    /// Lets a step rest after a call that took `took_ms`, until a task of it starts.
-    fn rest(now: u64, step: &StepId, known: &mut Known, took_ms: u64) {
+    /// Lets a step rest after a call that took `took_ms`, until a task of it starts; a gang that holds
+    /// more tickets than before asks on, as the first of them expire.
+    fn note_call(&self, now: u64, step: &StepId, known: &mut Known, took_ms: u64) {
+        let held = known.verdicts.iter().filter(|(name, verdict)| {
+            matches!(verdict, Verdict::Good(ticket) if self.is_valid(ticket, name, now))
+        });
+        let held = held.count();
+        let job = self.jobs.get(&step.job);
+        let spec = job.and_then(|job| job.spec.steps.get(step.step as usize));
+        if spec.is_some_and(|spec| spec.gang) && held > known.held {
+            known.held = held;
+            return;
+        }
+        known.held = 0;
         known.unrewarded = known.unrewarded.saturating_add(1);
         let rest_ms = advise::rest_ms(known.unrewarded, took_ms);
         known.rest_until = now + rest_ms;
         if known.unrewarded > 1 {
             log::info!(
-                "TG1624 job={} turn={} step={} rests: {} calls led to no start, rest_ms={rest_ms}",
+                "TG1624 job={} turn={} step={} rests: {} calls led to no start, tickets={held} rest_ms={rest_ms}",
                 step.job,
                 step.turn,
                 step.step,
@@ -410,3 +544,25 @@
         }
     }
 }
+
+/// Returns how many tasks of a step an idle upstream runs, at least 1.
+fn tasks_each(snapshot: &Snapshot, step: &Step) -> usize {
+    let each = step.accelerators.max(1);
+    let room = snapshot
+        .candidates
+        .first()
+        .map_or(1, |candidate| candidate.room.accelerators);
+    usize::try_from((room / each).max(1)).unwrap_or(1)
+}
+
+/// Returns the most tasks of a step that one upstream may run.
+fn upstream_limit(step: &Step) -> u32 {
+    match step.upstream_limit {
+        0 => step.count,
+        most => most.min(step.count),
+    }
+}
+
+fn as_usize(number: u32) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- a/src/fleet/decide/advise.rs
+++ b/src/fleet/decide/advise.rs
@@ -1,5 +1,7 @@
 //! How many upstreams a call for advice names, and for how long its tickets are used.
 
+use crate::fleet::model::Advice;
+
 /// The most upstreams in one call.
 pub(in crate::fleet) const MAX_ASKED: usize = 100;
 /// How long before its expiry a ticket is no longer used, in milliseconds: the order that carries
@@ -25,6 +27,17 @@
     until.max(now + valid_ms.min(MIN_USE_MS))
 }
 
+/// Returns the most upstreams of a call sent at `now` whose response arrives before `until`.
+pub(in crate::fleet) fn width_until(advice: &Advice, now: u64, until: u64) -> usize {
+    let left = until.saturating_sub(now).checked_sub(advice.decide_ms);
+    left.map_or(0, |left| {
+        let fits = left.saturating_sub(1).checked_div(advice.each_ms);
+        fits.map_or(MAX_ASKED, |fits| {
+            usize::try_from(fits).unwrap_or(MAX_ASKED).min(MAX_ASKED)
+        })
+    })
+}
+
 /// Returns for how long a step leaves the service to other steps after `unrewarded` calls in a row
 /// that led to no start, the last of which took `took_ms`, in milliseconds.
 pub(in crate::fleet) fn rest_ms(unrewarded: u32, took_ms: u64) -> u64 {
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -226,6 +226,48 @@
     }
 }
 
+/// Guards against a gang that needs tickets of two calls, the first of which expire meanwhile.
+#[test]
+fn a_gang_of_more_upstreams_than_one_call_names_starts() {
+    for every in [1, 2] {
+        let mut world = slow_world(16, 16);
+        let names: Vec<_> = world.upstreams.keys().cloned().collect();
+        world.advisor.good = names.into_iter().step_by(every).collect();
+        let reply = world.submit("guarded", "key-a", 1, vec![wide_gang(120)]);
+        assert_eq!(reply, Some(Reply::Accepted));
+        world.pass(60_000);
+        assert_eq!(world.phase("guarded", 1), Some(Phase::Completed), "{every}");
+        assert_eq!(world.unadvised, 0);
+        assert_eq!(world.runs_begun(1), 120);
+    }
+}
+
+/// Guards against a gang whose few allowed upstreams are spread over many calls.
+#[test]
+fn a_gang_keeps_the_tickets_that_it_has_while_it_asks_for_more() {
+    let mut world = slow_world(8, 8);
+    let names: Vec<_> = world.upstreams.keys().cloned().collect();
+    world.advisor.good = names.into_iter().step_by(4).collect();
+    world.submit("guarded", "key-a", 1, vec![wide_gang(12)]);
+    world.pass(20_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+    assert_eq!(world.unadvised, 0);
+}
+
+/// Guards against a gang for which too few upstreams are allowed and that asks for them without end.
+#[test]
+fn a_gang_with_too_few_allowed_upstreams_does_not_ask_again() {
+    let mut world = slow_world(2, 8);
+    let names: Vec<_> = world.upstreams.keys().cloned().collect();
+    world.advisor.good = names.into_iter().step_by(4).collect();
+    world.submit("guarded", "key-a", 1, vec![wide_gang(6)]);
+    world.pass(10_000);
+    let calls = world.advisor.calls_about(1);
+    world.pass(20_000);
+    assert_eq!(world.advisor.calls_about(1), calls);
+    assert_eq!(world.runs_begun(1), 0);
+}
+
 /// Guards against a ticket that was given for an earlier process of its upstream.
 #[test]
 fn tickets_of_an_earlier_process_are_asked_for_again() {
