fix(fleet): a step asks about as many upstreams as its tasks fill

What callers saw, in the world of tests: a gang of 20 tasks of which each upstream may run one needs three calls for advice.

Cause: how many tasks an upstream runs was reckoned from its accelerators alone, and from the first upstream listed, of whatever service.

Change: cores, memory and the step's limit for each upstream count, and the first upstream that may run the step is taken.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -327,7 +327,7 @@
         step: &Step,
         advice: &Advice,
     ) -> Vec<Name> {
-        let fit = tasks_each(snapshot, step);
+        let fit = tasks_each(snapshot, wait, step);
         let survey = self.survey(now, now, snapshot, wait, step, fit);
         let needed = survey.missing.div_ceil(fit);
         if !step.gang {
@@ -546,13 +546,13 @@
 }
 
 /// Returns how many tasks of a step an idle upstream runs, at least 1.
-fn tasks_each(snapshot: &Snapshot, step: &Step) -> usize {
-    let each = step.accelerators.max(1);
-    let room = snapshot
-        .candidates
-        .first()
-        .map_or(1, |candidate| candidate.room.accelerators);
-    usize::try_from((room / each).max(1)).unwrap_or(1)
+fn tasks_each(snapshot: &Snapshot, wait: &WaitingStep, step: &Step) -> usize {
+    let need = step.need();
+    let first = snapshot.candidates.iter().find(|candidate| {
+        candidate.allows(&wait.queue.service, step) && need.fits(&candidate.room)
+    });
+    let count = |first: &Candidate| Candidate::count(&first.room, &need, upstream_limit(step));
+    first.map_or(1, |first| as_usize(count(first)).max(1))
 }
 
 /// Returns the most tasks of a step that one upstream may run.
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -268,6 +268,21 @@
     assert_eq!(world.runs_begun(1), 0);
 }
 
+/// Guards against one ticket that is asked for where each upstream may run only one task.
+#[test]
+fn a_gang_with_a_limit_for_each_upstream_asks_about_enough_of_them() {
+    let mut world = slow_world(4, 8);
+    let apart = Step {
+        upstream_limit: 1,
+        accelerators: 1,
+        ..wide_gang(20)
+    };
+    world.submit("guarded", "key-a", 1, vec![apart]);
+    world.pass(4_000);
+    assert_eq!(world.runs_begun(1), 20);
+    assert_eq!(world.advisor.calls.len(), 1);
+}
+
 /// Guards against a ticket that was given for an earlier process of its upstream.
 #[test]
 fn tickets_of_an_earlier_process_are_asked_for_again() {
