fix(fleet): a call for advice is no wider than its tickets allow, and unusable terms are refused

What callers saw, in the world of tests: a gang on 150 upstreams, of which 143 hold tickets at the same time at most, is accepted and never starts. So is any job of a queue whose tickets are valid for 0 ms. Both are asked about without end.

Cause: valid-ms of a queue was not read, so nothing compared the terms with what a step needs.

Change: valid-ms belongs to a queue's terms, also in a job's row. A call about single tasks names no more upstreams than are decided on in half of that time: the service may decide on one after the other. A gang beyond what two calls hold, or a queue whose tickets expire before an order can be sent, is refused with 429 at once (TG1215); jobs accepted earlier wait and are not asked about until a version changes the terms (TG1625).

Builds side by side: the build before skips the new field of the row. A row of that build has none; the validity of the last response counts then.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -10,6 +10,9 @@
 use super::effect::Effect;
 use super::event::Advised;
 use super::model::Advice;
+use super::model::Config;
+use super::model::Queue;
+use super::model::Spec;
 use super::model::Step;
 use super::model::StepId;
 use super::scheduler::Scheduler;
@@ -86,6 +89,8 @@
     next_ask: u64,
     /// Rises with each call without a response, falls with each response in time.
     failures: u32,
+    /// How long the last tickets were valid, in milliseconds.
+    valid_ms: Option<u64>,
     /// Why the last step that asked was the first to do so.
     last: Precedence,
 }
@@ -277,7 +282,7 @@
 
     /// Asks about upstreams for a step; returns whether there are any to ask about.
     fn ask(&mut self, now: u64, snapshot: &Snapshot, wait: &WaitingStep) -> bool {
-        let Some(advice) = wait.queue.advice else {
+        let Some(advice) = wait.queue.advice.filter(is_usable) else {
             return false;
         };
         let job = self.jobs.get(&wait.job);
@@ -292,11 +297,12 @@
         let unrewarded = self.advice.unrewarded(&id);
         let call_ms = advice.call_ms(u64::try_from(upstreams.len()).unwrap_or(u64::MAX));
         log::info!(
-            "TG1610 job={} turn={} step={} asks about={} call_ms={call_ms} unrewarded={unrewarded} failures={} waited_ms={}",
+            "TG1610 job={} turn={} step={} asks about={} call_ms={call_ms} valid_ms={:?} unrewarded={unrewarded} failures={} waited_ms={}",
             id.job,
             id.turn,
             id.step,
             upstreams.len(),
+            advice.valid_ms.or(self.advice.valid_ms),
             self.advice.failures,
             now.saturating_sub(wait.since)
         );
@@ -327,23 +333,25 @@
         step: &Step,
         advice: &Advice,
     ) -> Vec<Name> {
+        let valid_ms = advice.valid_ms.or(self.advice.valid_ms);
+        let width = advise::width(advice, valid_ms);
         let fit = tasks_each(snapshot, wait, step);
         let survey = self.survey(now, now, snapshot, wait, step, fit);
         let needed = survey.missing.div_ceil(fit);
         if !step.gang {
-            return survey.choose(needed, advise::MAX_ASKED);
+            return survey.choose(needed, width);
         }
         // A gang needs all of its tickets at the same time.
+        let most = |needed| advise::MAX_ASKED.min(width.max(needed + SPARE_ASKED));
         let in_time = advise::width_until(advice, now, survey.held_until);
         if in_time >= needed.min(advise::MAX_ASKED) {
-            return survey.choose(needed, in_time);
+            return survey.choose(needed, most(needed).min(in_time));
         }
         // Those that it holds expire before the rest is there: it asks for them again.
-        let longest_ms =
-            advice.call_ms(u64::try_from(needed.min(advise::MAX_ASKED)).unwrap_or(u64::MAX));
+        let longest_ms = advice.call_ms(u64::try_from(most(needed)).unwrap_or(u64::MAX));
         let survey = self.survey(now, now + longest_ms, snapshot, wait, step, fit);
         let needed = survey.missing.div_ceil(fit);
-        survey.choose(needed, advise::MAX_ASKED)
+        survey.choose(needed, most(needed))
     }
 
     /// Finds the upstreams that a step could ask about: those close to the data first, then those of
@@ -484,7 +492,8 @@
         );
         self.changed = true;
         match &answer {
-            Some(_) => {
+            Some(answer) => {
+                self.advice.valid_ms = Some(answer.valid_ms);
                 if took <= pending.call_ms + RETRY_MS {
                     self.advice.failures = self.advice.failures.saturating_sub(1);
                 }
@@ -543,6 +552,49 @@
             );
         }
     }
+
+    /// Returns why no ticket can ever be used for a job of `queue`, none if one can.
+    pub(super) fn unadvisable(&self, queue: &Queue, spec: &Spec) -> Option<&'static str> {
+        let advice = queue.advice?;
+        if !self.timing.advice {
+            return Some("the queue needs advice, and the settings name no service for it");
+        }
+        if !is_usable(&advice) {
+            return Some("the queue's advice expires before it can be used");
+        }
+        let reach = advise::reach(&advice, advice.valid_ms?);
+        let exceeds = |step: &Step| {
+            let need = step.need();
+            let limit = upstream_limit(step);
+            let listed = self.upstreams.values().filter(|upstream| upstream.listed);
+            let each =
+                listed.map(|upstream| Candidate::count(&upstream.listing.room, &need, limit));
+            let each = as_usize(each.max().unwrap_or(0));
+            step.gang && as_usize(step.count).div_ceil(each.max(1)) > reach && each > 0
+        };
+        spec.steps
+            .iter()
+            .any(exceeds)
+            .then_some("a gang needs advice on more upstreams than is valid at the same time")
+    }
+}
+
+/// Logs the queues of a configuration whose tickets expire before they can be used.
+pub(super) fn check_terms(config: &Config) {
+    for queue in &config.queues {
+        if let Some(advice) = queue.advice.filter(|advice| !is_usable(advice)) {
+            log::warn!(
+                "TG1625 queue={} config={} valid_ms={:?}: its tickets expire before they can be used, its jobs are refused and not asked about",
+                queue.name,
+                config.version,
+                advice.valid_ms
+            );
+        }
+    }
+}
+
+fn is_usable(advice: &Advice) -> bool {
+    advice.valid_ms.is_none_or(advise::is_usable)
 }
 
 /// Returns how many tasks of a step an idle upstream runs, at least 1.
--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -16,8 +16,9 @@
 
 /// The `Retry-After` while no configuration is known, in milliseconds.
 const NO_CONFIG_WAIT_MS: u64 = 500;
-/// The `Retry-After` for queues that need advice when no advice service is set, in milliseconds.
-const NO_ADVICE_WAIT_MS: u64 = 30_000;
+/// The `Retry-After` for jobs that need advice which the settings or the queue do not allow to use, in
+/// milliseconds.
+const UNADVISABLE_WAIT_MS: u64 = 30_000;
 /// The `Retry-After` for a job whose stored state cannot be decoded, in milliseconds.
 const UNREADABLE_WAIT_MS: u64 = 10_000;
 
@@ -135,10 +136,15 @@
         if let Some(why) = spec.fault().or_else(|| spec.excess(wall_ms)) {
             return Reply::Bad(why.to_owned());
         }
-        if queue.advice.is_some() && !self.timing.advice {
+        if let Some(why) = self.unadvisable(queue, &spec) {
+            log::info!(
+                "TG1215 job={id} queue={} refused why={why:?} advice={:?}",
+                queue.name,
+                queue.advice
+            );
             return Reply::Refused {
-                wait_ms: NO_ADVICE_WAIT_MS,
-                why: "the queue needs advice, and the settings name no service for it",
+                wait_ms: UNADVISABLE_WAIT_MS,
+                why,
             };
         }
         let outlook = match self.admit(&workspace, queue, &spec) {
--- a/src/fleet/discovery.rs
+++ b/src/fleet/discovery.rs
@@ -1,5 +1,6 @@
 //! Applies configurations and the entries that discovery has of upstreams.
 
+use super::advice;
 use super::event::Reading;
 use super::model::Config;
 use super::model::Listing;
@@ -22,6 +23,7 @@
                 config.queues.len(),
                 config.keys.len()
             );
+            advice::check_terms(&config);
             self.add_terms(&config);
             self.config = Some(config);
             self.changed = true;
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -227,19 +227,24 @@
     pub advice: Option<Advice>,
 }
 
-/// How long an external service takes to decide which upstreams may run a step.
+/// How long an external service takes to decide which upstreams may run a step, and how long its
+/// decisions hold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Advice {
     /// The fixed time of each call, in milliseconds.
     pub decide_ms: u64,
     /// The additional time for each upstream that a call names, in milliseconds.
     pub each_ms: u64,
+    /// How long its tickets are valid, in milliseconds; none if the configuration does not say.
+    pub valid_ms: Option<u64>,
 }
 
 impl Advice {
     /// Returns how long a call about `count` upstreams takes, in milliseconds.
     pub fn call_ms(&self, count: u64) -> u64 {
-        self.decide_ms + self.each_ms * count
+        self.each_ms
+            .saturating_mul(count)
+            .saturating_add(self.decide_ms)
     }
 }
 
--- a/src/fleet/row.rs
+++ b/src/fleet/row.rs
@@ -86,6 +86,9 @@
     /// The additional time for each upstream.
     #[prost(uint64, tag = "2")]
     pub each_ms: u64,
+    /// How long its tickets are valid; none if not known. Earlier builds neither write nor read it.
+    #[prost(uint64, optional, tag = "3")]
+    pub valid_ms: Option<u64>,
 }
 
 /// The part of a job that changes.
--- a/src/fleet/stored.rs
+++ b/src/fleet/stored.rs
@@ -167,6 +167,7 @@
         advice: queue.advice.map(|advice| AdviceRow {
             decide_ms: advice.decide_ms,
             each_ms: advice.each_ms,
+            valid_ms: advice.valid_ms,
         }),
     }
 }
@@ -185,6 +186,7 @@
         advice: row.advice.map(|advice| Advice {
             decide_ms: advice.decide_ms,
             each_ms: advice.each_ms,
+            valid_ms: advice.valid_ms,
         }),
     }
 }
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -152,6 +152,7 @@
     let advice = Advice {
         decide_ms: 500,
         each_ms: 50,
+        valid_ms: Some(world.advisor.valid_ms),
     };
     world.configure(|config| change_guarded(config, |queue| queue.advice = Some(advice)));
     world
@@ -268,6 +269,21 @@
     assert_eq!(world.runs_begun(1), 0);
 }
 
+/// Guards against a gang that can never hold all of its tickets and is accepted all the same.
+#[test]
+fn a_gang_beyond_the_reach_of_the_advice_is_refused() {
+    let mut world = slow_world(20, 8);
+    let reply = world.submit("guarded", "key-a", 1, vec![wide_gang(150)]);
+    assert!(matches!(reply, Some(Reply::Refused { .. })), "{reply:?}");
+    // Members that share an upstream need one ticket.
+    let shared = Step {
+        accelerators: 4,
+        ..wide_gang(150)
+    };
+    let reply = world.submit("guarded", "key-a", 2, vec![shared]);
+    assert_eq!(reply, Some(Reply::Accepted));
+}
+
 /// Guards against one ticket that is asked for where each upstream may run only one task.
 #[test]
 fn a_gang_with_a_limit_for_each_upstream_asks_about_enough_of_them() {
@@ -283,6 +299,32 @@
     assert_eq!(world.advisor.calls.len(), 1);
 }
 
+/// Guards against jobs that are accepted, or asked about, though no ticket could be used.
+#[test]
+fn jobs_are_refused_while_tickets_expire_before_they_can_be_used() {
+    let mut world = slow_world(1, 8);
+    world.submit("guarded", "key-a", 1, vec![step(2, 8, 1_000)]);
+    world.pass(100);
+    world.advisor.valid_ms = 0;
+    world.configure(|config| {
+        change_guarded(config, |queue| {
+            queue.advice.as_mut().unwrap().valid_ms = Some(0);
+        });
+    });
+    let reply = world.submit("guarded", "key-a", 2, vec![step(2, 8, 1_000)]);
+    assert!(matches!(reply, Some(Reply::Refused { .. })), "{reply:?}");
+    world.pass(10_000);
+    assert_eq!(world.advisor.calls_about(1), 1);
+    world.advisor.valid_ms = 3_000;
+    world.configure(|config| {
+        change_guarded(config, |queue| {
+            queue.advice.as_mut().unwrap().valid_ms = Some(3_000);
+        });
+    });
+    world.pass(4_000);
+    assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
+}
+
 /// Guards against a ticket that was given for an earlier process of its upstream.
 #[test]
 fn tickets_of_an_earlier_process_are_asked_for_again() {
--- a/tests/fleet/terms.rs
+++ b/tests/fleet/terms.rs
@@ -1,5 +1,6 @@
 //! Jobs keep the terms that they were accepted with, whatever later configurations say.
 
+use super::advisor;
 use super::fake::Behaviour;
 use super::world::World;
 use super::world::step;
@@ -118,3 +119,25 @@
     assert_eq!(world.waiting("batch"), 1);
     assert_eq!(world.waiting("scan"), 0);
 }
+
+/// Guards against the terms of advice that are lost with the queue, or with the build that stored them.
+#[test]
+fn the_validity_of_advice_is_kept_with_the_job() {
+    let mut world = World::new(1, 2);
+    world.advisor.good = world.upstreams.keys().cloned().collect();
+    world.submit("guarded", "key-a", 1, two_steps());
+    world.pass(200);
+    let key = format!("j.{:016x}", 1);
+    let mut row = JobRow::decode(&*world.rows[&key]).unwrap();
+    let advice = row.terms.as_mut().and_then(|terms| terms.advice.as_mut());
+    let advice = advice.unwrap();
+    assert_eq!(advice.valid_ms, Some(advisor::VALID_MS));
+    // The row as the build before writes it.
+    advice.valid_ms = None;
+    world.rows.insert(key, row.encode_to_vec());
+    world.configure(|config| remove_queue(config, "guarded"));
+    world.take_over();
+    world.pass(5_000);
+    assert_eq!(world.runs_begun(1), 4);
+    assert_eq!(world.unadvised, 0);
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -4,6 +4,7 @@
 mod carry;
 mod crash;
 
+use super::advisor;
 use super::advisor::Advisor;
 use super::cloud::Cloud;
 use super::fake::Behaviour;
@@ -144,6 +145,7 @@
         advice: Some(Advice {
             decide_ms: 50,
             each_ms: 5,
+            valid_ms: Some(advisor::VALID_MS),
         }),
         ..(*queue("guarded", 1, 3.0, 1_000)).clone()
     });
