fix(fleet): guaranteed work gets tickets for upstreams on which it may stop other work

What callers saw, in the world of tests: guaranteed work that needs advice asks for it only after a quarter of its bound, and waits for ever once its tickets have expired while other work took the room (RECLAIM).

A guaranteed gang that waits near its data counts as placed, so that its shape is not recorded as failed, and what is placed does not ask. And expired tickets were asked for again only where a task fits at once, which holds nowhere on a service that is full of work which may be stopped.

Change: whatever has tasks left asks, unless room is being freed for it; what is guaranteed asks again about busy upstreams as well. Room that was freed is used only with tickets that are still valid, and asked about if they are not; before, the start was sent and refused.

The last sentence of the change has no test of its own.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -408,8 +408,9 @@
                     }
                     continue;
                 }
-                // Without free room, a new ticket would expire unused as well.
-                Some(_) if fits_now == 0 => continue,
+                // Without free room, a new ticket would expire unused as well, unless other work is
+                // stopped for the step.
+                Some(_) if fits_now == 0 && !wait.entitled => continue,
                 _ => {}
             }
             let remote = !step.data_rack.is_empty() && *candidate.rack != *step.data_rack;
@@ -427,7 +428,7 @@
             if room < waiting {
                 // Too few are allowed: no further ticket helps.
                 found.clear();
-            } else if free < waiting {
+            } else if free < waiting && !wait.entitled {
                 found.retain(|(_, _, unknown, _, _)| *unknown);
             }
         }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -56,7 +56,7 @@
         let others: Vec<(usize, &WaitingStep)> = waiting
             .iter()
             .enumerate()
-            .filter(|(_, wait)| !self.place_reserved(now, &mut snapshot, wait))
+            .filter(|(position, wait)| !self.place_reserved(now, &mut snapshot, *position, wait))
             .collect();
         let ranked = others.iter().enumerate();
         let mut order: Vec<_> = ranked
@@ -92,7 +92,13 @@
 
     /// Starts a gang in the room that is reserved for it, or keeps the reservation until the stops
     /// are done; returns whether there is a valid reservation.
-    fn place_reserved(&mut self, now: u64, snapshot: &mut Snapshot, wait: &WaitingStep) -> bool {
+    fn place_reserved(
+        &mut self,
+        now: u64,
+        snapshot: &mut Snapshot,
+        position: usize,
+        wait: &WaitingStep,
+    ) -> bool {
         let Some(reserved) = self.reservation(now, wait) else {
             return false;
         };
@@ -106,10 +112,15 @@
             .filter_map(|name| snapshot.index.get(name).copied())
             .collect();
         let whole = chosen.len() == reserved.len() && reserved.len() == wait.tasks.len();
-        if whole && snapshot.fits(&chosen, &need, false) {
+        let allowed = self.allowed(now, snapshot, wait);
+        let advised = allowed.is_none_or(|allowed| chosen.iter().all(|at| allowed.contains(at)));
+        if whole && advised && snapshot.fits(&chosen, &need, false) {
             self.start_gang(now, snapshot, wait, &chosen);
         } else if whole && snapshot.fits(&chosen, &need, true) {
             snapshot.reserve(&chosen, &need);
+            if !advised {
+                snapshot.unadvised.push(position);
+            }
         } else {
             // An upstream no longer takes work, or its room no longer suffices: search again now.
             self.set_reservation(wait, None);
@@ -220,8 +231,10 @@
                 some => some == wait.tasks.len(),
             }
         };
-        if !placed && allowed.is_some() {
-            snapshot.unadvised.push(position);
+        if allowed.is_some() {
+            if self.unplaced(wait) > 0 && self.reservation(now, wait).is_none() {
+                snapshot.unadvised.push(position);
+            }
         } else if !placed {
             if !careful && barred.is_empty() {
                 snapshot.record_failure(shape, tried);
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -373,3 +373,36 @@
     world.pass(60_000);
     assert_eq!(world.phase("guarded", 1), Some(Phase::Completed));
 }
+
+/// Guards against guaranteed work that asks for advice only after a part of its bound has passed.
+#[test]
+fn guaranteed_work_asks_for_advice_at_once_and_stops_other_work() {
+    let mut world = slow_world(1, 4);
+    world.configure(|config| change_guarded(config, |queue| queue.priority = 0));
+    world.work_ms.insert(format!("{:016x}", 1), 60_000);
+    world.submit("batch", "key-b", 1, vec![step(4, 8, 60_000)]);
+    world.pass(500);
+    assert_eq!(world.at_work(1).len(), 4);
+    world.submit("guarded", "key-a", 2, vec![wide_gang(2)]);
+    world.pass(100);
+    assert_eq!(world.advisor.calls_about(2), 1);
+    world.pass(2_600);
+    assert_eq!(world.runs_begun(2), 2);
+    assert_eq!(world.unadvised, 0);
+}
+
+/// Guards against guaranteed work that gets no new tickets for upstreams on which it could stop work.
+#[test]
+fn guaranteed_work_asks_again_about_upstreams_that_other_work_has_taken() {
+    let mut world = slow_world(1, 2);
+    world.configure(|config| change_guarded(config, |queue| queue.priority = 0));
+    world.work_ms.insert(format!("{:016x}", 1), 5_000);
+    world.work_ms.insert(format!("{:016x}", 3), 60_000);
+    world.submit("urgent", "key-b", 1, vec![step(2, 8, 5_000)]);
+    world.pass(100);
+    world.submit("guarded", "key-a", 2, vec![wide_gang(2)]);
+    world.submit("batch", "key-b", 3, vec![step(2, 8, 60_000)]);
+    world.pass(5_000 + 2_700);
+    assert_eq!(world.runs_begun(2), 2);
+    assert_eq!(world.unadvised, 0);
+}
