fix(fleet): a job's row that is too large is stored in part

Cause: the store refuses a row of more than 262,144 bytes, and the leader repeats the append ahead of all other rows. The limit on a job's tasks rests on 30 bytes each; a failure adds seven, each further one at least one, and an occurrence some 16 that were not counted.

Change: a row that is too large leaves out what its tasks can do without, no more than has to be, and TG1216 says so. Occurrences count with their own size. Earlier builds read such a row like one of their own.

--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -180,6 +180,7 @@
             closed: None,
             closure_stored: false,
             crowded: false,
+            trimmed: false,
             turns: BTreeMap::new(),
             next_turn: 0,
             begun: false,
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -1,5 +1,6 @@
 //! The scheduler's model of jobs, steps, upstreams and configuration.
 
+use super::stored;
 use crate::prelude::*;
 use prost::Message;
 use std::collections::HashMap;
@@ -174,9 +175,13 @@
             return Some("a job must fit into 200000 bytes");
         }
         let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
-        if tasks.saturating_mul(self.due_by(wall_ms)) > MAX_JOB_TASKS {
+        let due = self.due_by(wall_ms);
+        if tasks.saturating_mul(due) > MAX_JOB_TASKS {
             return Some("a job needs at most 8192 tasks at once");
         }
+        if !stored::fits(tasks, due) {
+            return Some("too many occurrences of the job are due at once");
+        }
         None
     }
 
--- a/src/fleet/scheduler.rs
+++ b/src/fleet/scheduler.rs
@@ -28,6 +28,7 @@
 use super::shares::Shares;
 use super::snapshot::FitBounds;
 use super::snapshot::Shape;
+use super::stored;
 use super::task::Job;
 use super::task::TaskPosition;
 use super::task::Turn;
@@ -354,9 +355,20 @@
                 value: job.job_row().encode_to_vec(),
             });
         }
+        let mut row = job.state_row(now, wall_ms);
+        let trimmed = stored::trim(&mut row);
+        if let Some(trimmed) = trimmed.filter(|_| !job.trimmed) {
+            log::warn!(
+                "TG1216 job={id} the row of its state is too large and is stored in part: bytes={} checkpoints_left_out={} earlier_failures_left_out={}",
+                trimmed.bytes,
+                trimmed.checkpoints,
+                trimmed.failures
+            );
+        }
+        job.trimmed = trimmed.is_some();
         self.out.rows.push(Row {
             key: state_key(id),
-            value: job.state_row(now, wall_ms).encode_to_vec(),
+            value: row.encode_to_vec(),
         });
     }
 
--- a/src/fleet/stored.rs
+++ b/src/fleet/stored.rs
@@ -18,6 +18,7 @@
 use super::task::Turn;
 use super::task::count_left;
 use crate::prelude::*;
+use prost::Message;
 use std::collections::BTreeMap;
 
 /// The greatest age that a restored job is given, in milliseconds; a greater one means that the
@@ -28,9 +29,80 @@
 const OPEN_TASK_BYTES: usize = 30;
 /// The same of a task that is done.
 const DONE_TASK_BYTES: usize = 12;
-/// Limit on the estimated size of a job's [`StateRow`], in bytes: below the largest record of the
-/// store.
-const MAX_STATE_BYTES: usize = MAX_JOB_TASKS as usize * OPEN_TASK_BYTES;
+/// The size of what an occurrence stores besides its tasks, in bytes.
+const TURN_BYTES: usize = 16;
+/// Limit on the size of a job's [`StateRow`], in bytes: below the largest record of the store.
+const MAX_STATE_BYTES: usize = MAX_JOB_TASKS as usize * OPEN_TASK_BYTES + TURN_BYTES;
+
+/// What was left out of a [`StateRow`] that was too large.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Trimmed {
+    /// The size of the whole row, in bytes.
+    pub(super) bytes: usize,
+    /// How many checkpoints were left out.
+    pub(super) checkpoints: usize,
+    /// Whether only the last failure of each task is kept.
+    pub(super) failures: bool,
+}
+
+/// Leaves out of a row what a task can do without, until the row is small enough for the store:
+/// what is left of 8,192 open tasks is about two thirds of the limit. First goes what tasks that are
+/// done no longer need, then checkpoints of live runs, which their upstreams report to the next
+/// leader, then the numbers of earlier failures, as in rows of earlier builds, then the other
+/// checkpoints.
+pub(super) fn trim(row: &mut StateRow) -> Option<Trimmed> {
+    let bytes = row.encoded_len();
+    let mut excess = bytes.checked_sub(MAX_STATE_BYTES + 1)? + 1;
+    let tasks = |row: &mut StateRow, change: &mut dyn FnMut(&mut TaskRow)| {
+        let turns = row.turns.iter_mut();
+        turns.flat_map(|turn| &mut turn.tasks).for_each(change);
+    };
+    tasks(row, &mut |task| {
+        if task.done {
+            let kept = TaskRow {
+                runs: task.runs,
+                done: true,
+                at: task.at,
+                ..TaskRow::default()
+            };
+            excess = excess.saturating_sub(task.encoded_len() - kept.encoded_len());
+            *task = kept;
+        }
+    });
+    let mut checkpoints = 0;
+    let mut failures = false;
+    for live in [true, false] {
+        tasks(row, &mut |task| {
+            if excess > 0 && (task.at > 0) == live && !task.saved.is_empty() {
+                excess = excess.saturating_sub(task.saved.len());
+                task.saved.clear();
+                checkpoints += 1;
+            }
+        });
+        if live && excess > 0 {
+            failures = true;
+            tasks(row, &mut |task| {
+                let before = task.encoded_len();
+                task.failed_runs.clear();
+                task.failed_floor = 0;
+                excess = excess.saturating_sub(before - task.encoded_len());
+            });
+        }
+    }
+    Some(Trimmed {
+        bytes,
+        checkpoints,
+        failures,
+    })
+}
+
+/// Returns whether the state of a job that begins `due` occurrences of `tasks` tasks at the same time
+/// fits into its row.
+pub(super) fn fits(tasks: u64, due: u64) -> bool {
+    let open = tasks.saturating_mul(OPEN_TASK_BYTES as u64);
+    let each = open.saturating_add(TURN_BYTES as u64);
+    each.saturating_mul(due) <= MAX_STATE_BYTES as u64
+}
 
 impl Job {
     /// Returns whether the row of its state has room for another occurrence.
@@ -43,7 +115,8 @@
             })
             .sum();
         let tasks: usize = self.spec.steps.iter().map(|step| step.count as usize).sum();
-        self.turns.is_empty() || stored + tasks * OPEN_TASK_BYTES <= MAX_STATE_BYTES
+        let turns = (self.turns.len() + 1) * TURN_BYTES;
+        self.turns.is_empty() || stored + tasks * OPEN_TASK_BYTES + turns <= MAX_STATE_BYTES
     }
 
     /// Returns the stored form of the part that never changes.
@@ -119,6 +192,7 @@
             closed: None,
             closure_stored: row.closed != 0,
             crowded: false,
+            trimmed: false,
             turns: BTreeMap::new(),
             next_turn: row.next_turn,
             begun: row.begun,
--- a/src/fleet/task.rs
+++ b/src/fleet/task.rs
@@ -267,6 +267,8 @@
     pub(super) closure_stored: bool,
     /// Whether an occurrence is due that the row of its state has no room for.
     pub(super) crowded: bool,
+    /// Whether its state was stored in part.
+    pub(super) trimmed: bool,
     /// Occurrences that have begun and are not done, or that still have a live run.
     pub(super) turns: BTreeMap<u32, Turn>,
     /// The next occurrence to begin.
--- a/tests/fleet/timed.rs
+++ b/tests/fleet/timed.rs
@@ -1,5 +1,6 @@
 //! Jobs with several scheduled occurrences.
 
+use super::fake::Behaviour;
 use super::world::WALL_MS;
 use super::world::World;
 use super::world::step;
@@ -155,6 +156,81 @@
     assert!(begun > Some(20), "{begun:?}");
 }
 
+/// Guards against a row that outgrows the store's limit by failures, which no estimate counts.
+#[test]
+fn a_large_job_whose_tasks_fail_again_and_again_fits_into_its_row() {
+    let mut world = World::new(1, 8);
+    for fake in world.upstreams.values_mut() {
+        fake.behaviour = Behaviour::Failing;
+        fake.saved = "00000bb87a21d94b".to_owned();
+        fake.page = 2_000;
+    }
+    let many = Step {
+        cpu: 10,
+        memory: 10,
+        checkpointing: true,
+        long_running: true,
+        ..step(4_096, 0, 1_000)
+    };
+    world.work_ms.insert(format!("{:016x}", 1), 1_000);
+    let reply = world.submit("batch", "key-a", 1, vec![many.clone(), many]);
+    assert_eq!(reply, Some(Reply::Accepted));
+    let key = state_key(&format!("{:016x}", 1));
+    let mut least = 0;
+    // Then the numbers of the failures do not fit into the row.
+    while least <= 8 {
+        assert!(world.now < 30_000, "{least}");
+        world.pass(500);
+        let largest = world.rows.values().map(Vec::len).max().unwrap();
+        assert!(largest < RECORD_BYTES, "{largest} at {}", world.now);
+        let state = StateRow::decode(&*world.rows[&key]).unwrap();
+        let tasks = &state.turns[0].tasks;
+        least = tasks.iter().map(|task| task.fails).min().unwrap();
+        let saved = tasks.iter().filter(|task| !task.saved.is_empty());
+        // No more is left out than has to be.
+        assert!(least != 1 || saved.count() > 4_000);
+    }
+    for fake in world.upstreams.values_mut() {
+        fake.behaviour = Behaviour::Healthy;
+    }
+    world.take_over();
+    world.pass(5_000);
+    let state = StateRow::decode(&*world.rows[&key]).unwrap();
+    let after = state.turns[0].tasks.iter().map(|task| task.fails).min();
+    assert!(after >= Some(least), "{after:?} {least}");
+}
+
+/// Guards against many short occurrences whose numbers and due times fill the row.
+#[test]
+fn occurrences_that_are_due_together_count_with_their_own_size() {
+    let mut world = World::new(1, 8);
+    let due = |times| Spec {
+        steps: vec![Step {
+            cpu: 10,
+            memory: 10,
+            checkpointing: true,
+            ..step(1, 0, 8_000)
+        }],
+        first_ms: WALL_MS,
+        interval_ms: 0,
+        times,
+        ..Spec::default()
+    };
+    for fake in world.upstreams.values_mut() {
+        fake.saved = "00000bb87a21d94b".to_owned();
+    }
+    world.work_ms.insert(format!("{:016x}", 1), 8_000);
+    let reply = world.submit_spec("batch", "key-a", 2, due(8_192));
+    assert!(matches!(reply, Some(Reply::Bad(_))), "{reply:?}");
+    let reply = world.submit_spec("batch", "key-a", 1, due(5_000));
+    assert_eq!(reply, Some(Reply::Accepted));
+    for _ in 0..20 {
+        world.pass(500);
+        let largest = world.rows.values().map(Vec::len).max().unwrap();
+        assert!(largest < RECORD_BYTES, "{largest} at {}", world.now);
+    }
+}
+
 /// Guards against rows that grow by checkpoints which nothing resumes from.
 #[test]
 fn the_row_of_a_task_that_is_done_keeps_no_checkpoint() {
