fix(fleet): a new leader leaves machines alone for the lease of the one before

Cause: the wait after leaders that have ended was 1 s, for orders on their way. The time between two holders was not among the settings.

Change: the setting machine_lease_ms, from the bounds of the platform, 3 s by default; a new leader waits for the longer of the two before it orders machines. It drains their upstreams at once, as before.

Cost: waves begin up to 2 s later after a change of the lead.

--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -173,6 +173,7 @@
             upkeep_ms: 2_000,
             advice: false,
             reclaim_ms: 2_700,
+            machine_lease_ms: 3_000,
             policy: Policy::default(),
         };
         let mut scheduler = Scheduler::new(timing, 0, 0);
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -69,9 +69,10 @@
         }
     }
 
-    /// Returns whether every order that they sent has arrived at a receiver that checks no tokens.
-    pub(super) fn have_ordered(&self, now: u64) -> bool {
-        now >= self.ended_at + TRANSIT_MS
+    /// Returns whether this leader may order machines: every order that they sent has arrived at a
+    /// receiver that checks no tokens, and their holds on the machines have passed.
+    pub(super) fn have_ordered(&self, now: u64, timing: &Timing) -> bool {
+        now >= self.ended_at + TRANSIT_MS.max(timing.machine_lease_ms)
     }
 
     /// Returns when each lease that they requested has certainly expired, local clock.
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -101,6 +101,12 @@
             upkeep_ms: thousandths(&mut fields, "upkeep_s", 2_000, &mut findings),
             advice: fields.raw("advice").is_some(),
             reclaim_ms: fields.number_or("reclaim_ms", 2_700, 0..=MAX_MS, &mut findings),
+            machine_lease_ms: fields.number_or(
+                "machine_lease_ms",
+                3_000,
+                0..=MAX_MS,
+                &mut findings,
+            ),
             policy: policy(&mut fields, &mut findings),
         },
     };
--- a/src/fleet/timing.rs
+++ b/src/fleet/timing.rs
@@ -17,6 +17,8 @@
     pub advice: bool,
     /// The time after its acknowledgement within which guaranteed work must begin.
     pub reclaim_ms: u64,
+    /// How long after an order to a machine another leader sends it none.
+    pub machine_lease_ms: u64,
     /// Which decisions under load are in force.
     pub policy: Policy,
 }
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -368,7 +368,7 @@
             active.stages.insert(id, Stage::Draining(until));
         }
         let wave = active.wave.number;
-        if !self.earlier.have_ordered(now) {
+        if !self.earlier.have_ordered(now, &self.timing) {
             return;
         }
         for (id, stage) in &mut active.stages {
--- a/tests/fleet/upkeep.rs
+++ b/tests/fleet/upkeep.rs
@@ -4,6 +4,7 @@
 use super::world::FIRST;
 use super::world::World;
 use super::world::step;
+use super::world::timing;
 use trefoilgauge::fleet::Event;
 use trefoilgauge::fleet::event::Phase;
 use trefoilgauge::fleet::model::Step;
@@ -156,6 +157,24 @@
     }
 }
 
+/// Guards against two leaders, both in touch, that order one machine shortly after one another.
+#[test]
+fn machines_are_left_alone_for_the_lease_of_a_leader_that_has_ended() {
+    let mut world = World::new(1, 4);
+    order_wave(&mut world, 30_000, 1);
+    while taken_down(&world) == 0 {
+        world.pass(10);
+    }
+    world.take_over();
+    order_wave(&mut world, 30_000, 1);
+    let orders = world.cloud.orders;
+    world.tell(Event::PredecessorEnded);
+    world.pass(timing().machine_lease_ms - 10);
+    assert_eq!(world.cloud.orders, orders);
+    world.pass(20_000);
+    assert_eq!(taken_down(&world), 4);
+}
+
 #[test]
 fn a_machine_that_no_longer_exists_does_not_block_a_wave() {
     let mut world = World::new(1, 3);
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -121,6 +121,7 @@
         upkeep_ms: 2_000,
         advice: true,
         reclaim_ms: 2_700,
+        machine_lease_ms: 3_000,
         policy: Policy::default(),
     }
 }
--- a/tests/fleet_hazards/leader.rs
+++ b/tests/fleet_hazards/leader.rs
@@ -34,6 +34,7 @@
         upkeep_ms: 2_000,
         advice: false,
         reclaim_ms: 2_700,
+        machine_lease_ms: 3_000,
         // The rules hold with every decision under load turned on.
         policy: Policy {
             gang_reservations: 2,
--- a/tests/fleet_host.rs
+++ b/tests/fleet_host.rs
@@ -194,6 +194,7 @@
             upkeep_ms: 2_000,
             advice: false,
             reclaim_ms: 2_700,
+            machine_lease_ms: 3_000,
             policy: Policy::default(),
         },
         config_age_ms: 3_000,
--- a/tests/fleet_wire/parts.rs
+++ b/tests/fleet_wire/parts.rs
@@ -232,6 +232,7 @@
             upkeep_ms: 2_000,
             advice: false,
             reclaim_ms: 2_700,
+            machine_lease_ms: 3_000,
             policy: Policy::default(),
         },
         config_age_ms: 3_000,
