--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -202,7 +202,7 @@
     /// When the first of the tickets that it holds for the other tasks expires, local clock.
     held_until: u64,
     /// The upstreams, best first, and whether the service is known to allow each.
-    open: Vec<(Name, bool)>,
+    candidates: Vec<(Name, bool)>,
 }
 
 impl Survey {
@@ -212,7 +212,7 @@
         let mut wanted = ASKED_EACH * needed;
         let mut spare = SPARE_ASKED;
         let mut chosen = Vec::new();
-        for (name, allowed) in self.open.into_iter().take(most) {
+        for (name, allowed) in self.candidates.into_iter().take(most) {
             if wanted == 0 {
                 if spare == 0 {
                     break;
@@ -433,7 +433,7 @@
             }
         }
         found.sort_unstable();
-        let open = found
+        let candidates = found
             .into_iter()
             .map(|(_, _, unknown, _, name)| (name.clone(), !unknown));
         Survey {
@@ -443,7 +443,7 @@
                 waiting
             },
             held_until,
-            open: open.collect(),
+            candidates: candidates.collect(),
         }
     }
 
@@ -570,8 +570,10 @@
             let listed = self.upstreams.values().filter(|upstream| upstream.listed);
             let each =
                 listed.map(|upstream| Candidate::count(&upstream.listing.room, &need, limit));
-            let each = as_usize(each.max().unwrap_or(0));
-            step.gang && as_usize(step.count).div_ceil(each.max(1)) > reach && each > 0
+            // Without upstreams nothing is known; other checks refuse the job then.
+            let each = each.max().filter(|each| *each > 0);
+            let needed = each.map(|each| as_usize(step.count.div_ceil(each)));
+            step.gang && needed.is_some_and(|needed| needed > reach)
         };
         spec.steps
             .iter()
