fix(fleet): a lost call for advice is given up in bounded time

What callers saw, in the world of tests: after a silence of the service, one more lost call holds up all steps that need advice for 45 s.

Cause: after three calls without a response the next one was given eight times its usual time, 44 s for the widest.

Change: at most 10 s more than usual.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -38,6 +38,9 @@
 const MAX_RETRY_MS: u64 = 5_000;
 /// The most doublings of the time that the service is given, after calls without a response.
 const MAX_DOUBLINGS: u32 = 3;
+/// The longest time that it is given beyond what it usually takes, in milliseconds: a lost call holds
+/// up all steps for as long.
+const MAX_EXTRA_MS: u64 = 10_000;
 
 /// The service's decision on one step and one upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -319,7 +322,9 @@
         self.out.immediate.push(Effect::Advise {
             step: id,
             upstreams,
-            call_ms: call_ms.saturating_mul(1 << doublings),
+            call_ms: call_ms
+                .saturating_mul(1 << doublings)
+                .min(call_ms.saturating_add(MAX_EXTRA_MS)),
         });
         true
     }
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -406,3 +406,21 @@
     assert_eq!(world.runs_begun(2), 2);
     assert_eq!(world.unadvised, 0);
 }
+
+/// Guards against a lost call that holds up all steps long after the service is back.
+#[test]
+fn a_lost_call_is_given_up_in_bounded_time_however_many_were_lost_before() {
+    let mut world = slow_world(16, 8);
+    world.advisor.silent = true;
+    world.submit("guarded", "key-a", 1, vec![wide_gang(100)]);
+    world.pass(120_000);
+    // The widest call, twice the wait between two calls, and the adapter's margin.
+    assert!(
+        world.advisor.longest_ms <= 5_500 + 10_000 + 1_000,
+        "{}",
+        world.advisor.longest_ms
+    );
+    world.advisor.silent = false;
+    world.pass(30_000);
+    assert_eq!(world.runs_begun(1), 100);
+}
--- a/tests/fleet/advisor.rs
+++ b/tests/fleet/advisor.rs
@@ -30,6 +30,8 @@
     pub valid_ms: u64,
     /// The step and the upstreams of each call.
     pub calls: Vec<(StepId, Vec<Name>)>,
+    /// The longest time after which the adapter gives a call up, in milliseconds.
+    pub longest_ms: u64,
     /// When it has handled all calls so far, also those that were given up.
     busy_until: u64,
     pending: Option<Call>,
@@ -44,6 +46,8 @@
     decided: u64,
     /// When the adapter gives it up.
     limit: u64,
+    /// Whether it gets no response, even once the service responds again.
+    lost: bool,
 }
 
 impl Default for Advisor {
@@ -57,6 +61,7 @@
             transit_ms: 0,
             valid_ms: VALID_MS,
             calls: Vec::new(),
+            longest_ms: 0,
             busy_until: 0,
             pending: None,
         }
@@ -76,7 +81,9 @@
             asked,
             decided: self.busy_until,
             limit: now + call_ms + CALL_MARGIN_MS,
+            lost: self.silent,
         });
+        self.longest_ms = self.longest_ms.max(call_ms + CALL_MARGIN_MS);
     }
 
     /// Returns the number of calls about a job.
@@ -88,8 +95,8 @@
 
     /// Returns the answer that is due, if any.
     pub(crate) fn answer(&mut self, now: u64) -> Option<Event> {
-        let (transit, silent) = (self.transit_ms, self.silent);
-        let arrives = |call: &Call| !silent && now >= call.decided + transit;
+        let transit = self.transit_ms;
+        let arrives = |call: &Call| !call.lost && now >= call.decided + transit;
         let call = self
             .pending
             .take_if(|call| arrives(call) || now >= call.limit)?;
