fix(fleet): an order that waited for the store is not sent with an expired ticket

What callers saw, in the world of tests: while the store is away for 5 s, the start of a step waits with its ticket, is sent once the store is back, and is refused; a gang is stopped again.

Cause: a ticket was checked when its task was placed, not when the order goes out.

Change: the check before sending, which looks at the run and at the room of its upstream, looks at the ticket as well. An order that fails it counts as declined, and its step asks again.

--- a/src/fleet/advice.rs
+++ b/src/fleet/advice.rs
@@ -12,6 +12,7 @@
 use super::model::Advice;
 use super::model::Config;
 use super::model::Queue;
+use super::model::RunId;
 use super::model::Spec;
 use super::model::Step;
 use super::model::StepId;
@@ -257,6 +258,19 @@
         now < ticket.until && ticket.life == self.life_of(at)
     }
 
+    /// Returns whether a run may start without a ticket, or its step has a valid one for `at`.
+    pub(super) fn has_advice(&self, now: u64, at: &Name, run: &RunId) -> bool {
+        let config = self.config.as_ref();
+        let job = self.jobs.get(&run.task.job);
+        let queue = config.and_then(|config| job?.queue_in(config));
+        if queue.is_none_or(|queue| queue.advice.is_none()) {
+            return true;
+        }
+        let known = self.advice.steps.get(&run.task.step_id());
+        let verdict = known.and_then(|known| known.verdicts.get(at));
+        matches!(verdict, Some(Verdict::Good(ticket)) if self.is_valid(ticket, at, now))
+    }
+
     /// Sends the next call if none is in progress, for one of the steps in `wanting`, which are in the
     /// order of their ranks. Steps whose calls led to a start and those that have rested take turns.
     pub(super) fn ask_next(&mut self, now: u64, snapshot: &Snapshot, wanting: &[&WaitingStep]) {
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -172,15 +172,17 @@
     }
 
     /// Returns whether a start that waited for the store is still to be sent: its run was neither
-    /// settled nor stopped meanwhile, and the upstream still has room for all its runs. If the room
-    /// has shrunk, the start counts as declined.
+    /// settled nor stopped meanwhile, the upstream still has room for all its runs, and a ticket that
+    /// the run needs has not expired. If the room has shrunk or the ticket has expired, the start
+    /// counts as declined.
     pub fn may_send_start(&mut self, now: u64, at: &Name, run: &RunId) -> bool {
         let starting = self.is_starting(at, run);
         let upstream = self.upstreams.get(at);
         let fits = upstream.is_some_and(|upstream| upstream.used.fits(&upstream.listing.room));
-        if !starting || !fits {
+        let advised = !starting || self.has_advice(now, at, run);
+        if !starting || !fits || !advised {
             log::info!(
-                "TG1620 job={} step={} index={} run={} upstream={at} not sent starting={starting} room={:?} used={:?}",
+                "TG1620 job={} step={} index={} run={} upstream={at} not sent starting={starting} advised={advised} room={:?} used={:?}",
                 run.task.job,
                 run.task.step,
                 run.task.index,
@@ -191,8 +193,10 @@
         }
         if starting && !fits {
             self.started(now, at, run, Started::Full);
+        } else if !advised {
+            self.started(now, at, run, Started::Unadvised);
         }
-        starting && fits
+        starting && fits && advised
     }
 
     fn is_starting(&self, at: &Name, run: &RunId) -> bool {
--- a/tests/fleet/advice.rs
+++ b/tests/fleet/advice.rs
@@ -424,3 +424,31 @@
     world.pass(30_000);
     assert_eq!(world.runs_begun(1), 100);
 }
+
+/// Guards against a ticket that expires while the store delays the order that carries it.
+#[test]
+fn an_order_that_waited_for_the_store_is_not_sent_with_an_expired_ticket() {
+    for gang in [false, true] {
+        let mut world = slow_world(1, 8);
+        let tasks = Step {
+            gang,
+            ..wide_gang(2)
+        };
+        world.submit("guarded", "key-a", 1, vec![tasks]);
+        world.store_down = true;
+        world.pass(5_000);
+        world.store_up();
+        assert_eq!(
+            (world.unadvised, world.runs_begun(1)),
+            (0, 0),
+            "gang={gang}"
+        );
+        world.pass(5_000);
+        assert_eq!(
+            world.phase("guarded", 1),
+            Some(Phase::Completed),
+            "gang={gang}"
+        );
+        assert_eq!(world.unadvised, 0);
+    }
+}
