--- a/tests/fleet/routes.rs
+++ b/tests/fleet/routes.rs
@@ -78,8 +78,7 @@
     assert_eq!(world.phase("scan", 1), Some(Phase::Running));
 }
 
-/// Guards against a caller without a key of the shorter prefix's queue who is told that its key is
-/// wrong.
+/// Guards against callers of a public queue who are told that their key is wrong once it is removed.
 #[test]
 fn a_removed_public_queue_is_not_found_without_a_key() {
     let mut world = nested();
@@ -91,8 +90,7 @@
     assert_eq!(state, Some(Reply::NoQueue));
 }
 
-/// Guards against a prefix without a final slash whose removal makes its calls look like malformed
-/// ids of the shorter one.
+/// Guards against a removed prefix without a slash whose calls look like malformed ids.
 #[test]
 fn a_removed_prefix_without_a_slash_is_not_found() {
     let mut world = World::new(1, 1);
