tests(fleet): the bound of a row stored in part follows from its parts

The bound of 4,000 checkpoints rested on a measured row; it is now what has to be left out if each of 8,192 tasks grows by the 7 bytes of a failure: 4,608 stay, more than was asked before.

--- a/tests/fleet/timed.rs
+++ b/tests/fleet/timed.rs
@@ -187,8 +187,8 @@
         let tasks = &state.turns[0].tasks;
         least = tasks.iter().map(|task| task.fails).min().unwrap();
         let saved = tasks.iter().filter(|task| !task.saved.is_empty());
-        // No more is left out than has to be.
-        assert!(least != 1 || saved.count() > 4_000);
+        // No more is left out than has to be: a failure adds 7 bytes, a checkpoint has 16.
+        assert!(least != 1 || saved.count() >= 8_192 - 8_192 * 7 / 16);
     }
     for fake in world.upstreams.values_mut() {
         fake.behaviour = Behaviour::Healthy;
